Add design, build setup and the model package

Cause: the project needs a design that all parts can be built against. Change: docs/design.md, pinned requirements, formatter, linter, types and import layering, the model package with ids, error table and the rule for permissions, the records and view of the configuration, the peer interface.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+PYTHON ?= python3
+VENV ?= .venv
+RUN = PYTHONPATH=src:. $(VENV)/bin/python
+SEEDS ?= 1
+QUICK ?=
+PLANT ?=
+
+.PHONY: demo test matrix measure capacity lint format
+
+$(VENV)/.installed: requirements-dev.txt requirements.txt pyproject.toml
+	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install -q -r requirements-dev.txt
+	$(VENV)/bin/pip install -q --no-deps -e .
+	touch $@
+
+demo: $(VENV)/.installed
+	$(RUN) -m bench.demo
+
+test: $(VENV)/.installed
+	POMELOWARD_SEEDS=$(SEEDS) $(RUN) -m pytest
+
+matrix: $(VENV)/.installed
+	$(RUN) -m bench.matrix $(if $(QUICK),--quick) $(if $(PLANT),--plant $(PLANT))
+
+measure: $(VENV)/.installed
+	$(RUN) -m bench.measure $(if $(QUICK),--quick)
+
+capacity: $(VENV)/.installed
+	$(RUN) -m bench.capacity $(if $(QUICK),--quick)
+
+format: $(VENV)/.installed
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+lint: $(VENV)/.installed
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/flake8 src standins bench tests
+	$(VENV)/bin/mypy
+	PYTHONPATH=src $(VENV)/bin/lint-imports --no-cache
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Launchers for the demo, the fault matrix and the measurements."""
--- /dev/null
+++ b/src/pomeloward/__init__.py
@@ -0,0 +1,1 @@
+"""A proxy fleet for targets with gray failures."""
--- /dev/null
+++ b/src/pomeloward/address/__init__.py
@@ -0,0 +1,1 @@
+"""The answer to which host addresses a caller should use."""
--- /dev/null
+++ b/src/pomeloward/budget/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet-wide rate limits: token buckets of portions, and loans."""
--- /dev/null
+++ b/src/pomeloward/catalog/__init__.py
@@ -0,0 +1,15 @@
+"""The configuration: records, validation, versions and spreading."""
+
+from pomeloward.catalog.records import Host as Host
+from pomeloward.catalog.records import Key as Key
+from pomeloward.catalog.records import Record as Record
+from pomeloward.catalog.records import Region as Region
+from pomeloward.catalog.records import Roster as Roster
+from pomeloward.catalog.records import Route as Route
+from pomeloward.catalog.records import RouteAccess as RouteAccess
+from pomeloward.catalog.records import Service as Service
+from pomeloward.catalog.records import SiteShare as SiteShare
+from pomeloward.catalog.records import Target as Target
+from pomeloward.catalog.records import Team as Team
+from pomeloward.catalog.records import Zone as Zone
+from pomeloward.catalog.view import View as View
--- /dev/null
+++ b/src/pomeloward/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The installed programs."""
--- /dev/null
+++ b/src/pomeloward/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Requests to targets: retries, hedging, deadlines and cancellation."""
--- /dev/null
+++ b/src/pomeloward/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The ASGI application that callers connect to."""
--- /dev/null
+++ b/src/pomeloward/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The composition root: builds, wires, starts and stops the parts."""
--- /dev/null
+++ b/src/pomeloward/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Heartbeats, standing and the states of hosts."""
--- /dev/null
+++ b/src/pomeloward/model/errorkind.py
@@ -0,0 +1,36 @@
+"""The closed list of error kinds."""
+
+import enum
+
+
+class ErrorKind(enum.Enum):
+    """Every kind of refusal that a caller can get."""
+
+    BAD_REQUEST = "bad_request"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    KEY_MISSING = "key_missing"
+    KEY_UNKNOWN = "key_unknown"
+    KEY_WITHDRAWN = "key_withdrawn"
+    ROUTE_UNKNOWN = "route_unknown"
+    ROUTE_FORBIDDEN = "route_forbidden"
+    ORDER_KEY_MISSING = "order_key_missing"
+    ORDER_KEY_INVALID = "order_key_invalid"
+    ORDER_CONFLICT = "order_conflict"
+    ORDER_UNKNOWN = "order_unknown"
+    ORDER_OWNER_UNAVAILABLE = "order_owner_unavailable"
+    RATE_EXCEEDED = "rate_exceeded"
+    BUDGET_UNAVAILABLE = "budget_unavailable"
+    QUEUE_FULL = "queue_full"
+    QUEUE_TIMEOUT = "queue_timeout"
+    CONNECTION_LIMIT = "connection_limit"
+    NO_CAPACITY = "no_capacity"
+    HOST_STARTING = "host_starting"
+    HOST_DRAINING = "host_draining"
+    HOST_ISOLATED = "host_isolated"
+    TARGET_UNREACHABLE = "target_unreachable"
+    TARGET_REFUSED = "target_refused"
+    TARGET_FAILED = "target_failed"
+    TARGET_TIMEOUT = "target_timeout"
+    CALLER_GONE = "caller_gone"
+    INTERNAL = "internal"
--- /dev/null
+++ b/src/pomeloward/model/ids.py
@@ -0,0 +1,21 @@
+"""Identifiers, each a distinct type for the type checker."""
+
+import typing
+
+HostId = typing.NewType("HostId", str)
+ZoneId = typing.NewType("ZoneId", str)
+RegionId = typing.NewType("RegionId", str)
+SiteId = typing.NewType("SiteId", str)
+TeamId = typing.NewType("TeamId", str)
+ServiceId = typing.NewType("ServiceId", str)
+TargetId = typing.NewType("TargetId", str)
+RouteId = typing.NewType("RouteId", str)
+RequestId = typing.NewType("RequestId", str)
+# A partition is written "<region>/<number>", for example "south/17".
+PartitionId = typing.NewType("PartitionId", str)
+# Version of the configuration; it only grows.
+Version = typing.NewType("Version", int)
+# Number of an ownership of a partition; it only grows.
+Epoch = typing.NewType("Epoch", int)
+# Start of a process; a later start of the same host has a larger one.
+Incarnation = typing.NewType("Incarnation", int)
--- /dev/null
+++ b/src/pomeloward/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics, the decision journal and burn rates."""
--- /dev/null
+++ b/src/pomeloward/orders/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of non-idempotent requests."""
--- /dev/null
+++ b/src/pomeloward/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Leased ownership of partitions, granted by voters."""
--- /dev/null
+++ b/src/pomeloward/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Reader of the platform's configuration service and host list."""
--- /dev/null
+++ b/src/pomeloward/queue/__init__.py
@@ -0,0 +1,1 @@
+"""The fair queue between teams, and load shedding."""
--- /dev/null
+++ b/src/pomeloward/service/__init__.py
@@ -0,0 +1,1 @@
+"""Slots, outlier detection, the floor and slow start of targets."""
--- /dev/null
+++ b/src/pomeloward/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a host, read from TOML and checked."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, targets and callers."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, named after the modules that they cover."""
--- /dev/null
+++ b/tests/model/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the model package."""
