--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 VENV ?= .venv
 RUN = PYTHONPATH=src:. $(VENV)/bin/python
 SEEDS ?= 1
+SETUP ?= $(VENV)/.installed
 QUICK ?=
 PLANT ?=
 
@@ -13,26 +14,26 @@
 	$(VENV)/bin/pip install -q --no-deps -e .
 	touch $@
 
-demo: $(VENV)/.installed
+demo: $(SETUP)
 	$(RUN) -m bench.demo
 
-test: $(VENV)/.installed
+test: $(SETUP)
 	POMELOWARD_SEEDS=$(SEEDS) $(RUN) -m pytest
 
-matrix: $(VENV)/.installed
+matrix: $(SETUP)
 	$(RUN) -m bench.matrix $(if $(QUICK),--quick) $(if $(PLANT),--plant $(PLANT))
 
-measure: $(VENV)/.installed
+measure: $(SETUP)
 	$(RUN) -m bench.measure $(if $(QUICK),--quick)
 
-capacity: $(VENV)/.installed
+capacity: $(SETUP)
 	$(RUN) -m bench.capacity $(if $(QUICK),--quick)
 
-format: $(VENV)/.installed
+format: $(SETUP)
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
 
-lint: $(VENV)/.installed
+lint: $(SETUP)
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/flake8 src standins bench tests
