Add the request path of one host

Cause: requests need a whole path before the shared parts join it. Change: entry checks form, takes keys out and runs the steps of a request; dispatch sends over httpx transports with retry and hedge budgets and run evidence; gateway builds a host with local slots, budget and claims.

--- a/src/pomeloward/dispatch/__init__.py
+++ b/src/pomeloward/dispatch/__init__.py
@@ -1,1 +1,17 @@
-"""Requests to targets: retries, hedging, deadlines and cancellation."""
+"""Requests to targets: attempts, retries, hedging and deadlines."""
+
+from pomeloward.dispatch.answer import Answer as Answer
+from pomeloward.dispatch.answer import AnswerCut as AnswerCut
+from pomeloward.dispatch.dispatcher import Dispatcher as Dispatcher
+from pomeloward.dispatch.evidence import RunEvidence as RunEvidence
+from pomeloward.dispatch.failed import Failed as Failed
+from pomeloward.dispatch.head import HOP_BY_HOP as HOP_BY_HOP
+from pomeloward.dispatch.links import Links as Links
+from pomeloward.dispatch.outcome import Outcome as Outcome
+from pomeloward.dispatch.request import Headers as Headers
+from pomeloward.dispatch.request import TargetRequest as TargetRequest
+from pomeloward.dispatch.sender import Sender as Sender
+from pomeloward.dispatch.steps import Admission as Admission
+from pomeloward.dispatch.steps import SlotHold as SlotHold
+from pomeloward.dispatch.steps import Targets as Targets
+from pomeloward.dispatch.ticket import Ticket as Ticket
--- /dev/null
+++ b/src/pomeloward/dispatch/dispatcher.py
@@ -0,0 +1,149 @@
+"""Sends requests to targets, with retries and hedging."""
+
+import anyio
+import expression
+
+from pomeloward import model
+from pomeloward import observe
+from pomeloward.dispatch import answer as answers
+from pomeloward.dispatch import budgets
+from pomeloward.dispatch import failed as faileds
+from pomeloward.dispatch import failedattempt
+from pomeloward.dispatch import hedge
+from pomeloward.dispatch import outcome as outcomes
+from pomeloward.dispatch import request as requests
+from pomeloward.dispatch import retryrule
+from pomeloward.dispatch import sender
+from pomeloward.dispatch import steps
+from pomeloward.dispatch import ticket as tickets
+
+DispatchResult = expression.Result[answers.Answer, faileds.Failed]
+
+
+class Dispatcher:
+    """The step from an admitted request to the head of its answer.
+
+    ``send`` waits for a slot, sends, and tries again elsewhere as long as
+    that is safe and within the budgets.
+    """
+
+    def __init__(
+        self,
+        admission: steps.Admission,
+        attempts: sender.Sender,
+        journal: observe.Journal,
+    ) -> None:
+        self._admission = admission
+        self._sender = attempts
+        self._journal = journal
+        self._budgets = budgets.Budgets()
+
+    async def send(self, request: requests.TargetRequest) -> DispatchResult:
+        """Return the answer's head, or why there is none."""
+        ticket = tickets.Ticket(
+            service=request.route.service,
+            team=request.team,
+            arrived_at_ms=request.arrived_at_ms,
+            deadline_ms=request.deadline_ms,
+            is_deferrable=request.route.is_deferrable,
+        )
+        self._budgets.retry(request.route.service).on_request()
+        self._budgets.hedge(request.route.service).on_request()
+        with anyio.CancelScope(deadline=request.deadline_ms / 1_000):
+            return await self._until_answered(request, ticket)
+        return self._timed_out(request)
+
+    async def _until_answered(
+        self, request: requests.TargetRequest, ticket: tickets.Ticket
+    ) -> DispatchResult:
+        budget = self._budgets.retry(ticket.service)
+        attempts = 0
+        while True:
+            acquired = await self._admission.acquire(ticket)
+            if acquired.is_error():
+                return self._refused(request, acquired.error)
+            attempts += 1
+            result = await self._attempt(request, acquired.ok)
+            if isinstance(result, answers.Answer):
+                return expression.Ok(result)
+            now_ms = anyio.current_time() * 1_000
+            failure = result.failure
+            self._note(request, result, now_ms)
+            ticket.avoid.add(result.target)
+            if not retryrule.should_retry(
+                failure,
+                request.route.is_idempotent,
+                request.body.can_replay,
+                attempts,
+                budget,
+                now_ms,
+                request.deadline_ms,
+            ):
+                return await self._give_up(request, result)
+            await result.discard()
+
+    async def _attempt(
+        self, request: requests.TargetRequest, hold: steps.SlotHold
+    ) -> answers.Answer | failedattempt.FailedAttempt:
+        budget = self._budgets.hedge(request.route.service)
+        if not request.route.is_idempotent or not request.body.can_replay:
+            result = await self._sender.send(request, hold)
+        else:
+            result = await hedge.send_hedged(
+                self._sender, self._admission, budget, request, hold
+            )
+        if isinstance(result, answers.Answer):
+            budget.on_latency(result.latency_ms)
+        return result
+
+    async def _give_up(
+        self,
+        request: requests.TargetRequest,
+        last: failedattempt.FailedAttempt,
+    ) -> DispatchResult:
+        """Pass on the target's own error answer, or else a refusal."""
+        answer = last.answer
+        is_shed = last.failure.outcome is outcomes.Outcome.SHED
+        if answer is not None and not is_shed and not answer.is_unusable:
+            return expression.Ok(answer)
+        await last.discard()
+        return self._refused(request, last.failure.refusal)
+
+    def _refused(
+        self, request: requests.TargetRequest, refusal: model.Refusal
+    ) -> DispatchResult:
+        """Make sure that a refusal is true about the whole request."""
+        proof = request.evidence.proof
+        if proof is None and refusal.run is model.RunState.NOT_RUN:
+            refusal = model.Refusal(
+                model.ErrorKind.TARGET_FAILED,
+                f"an earlier attempt may have run; then: {refusal.detail}",
+            )
+        return expression.Error(faileds.Failed(refusal, proof))
+
+    def _timed_out(self, request: requests.TargetRequest) -> DispatchResult:
+        if request.evidence.proof is None:
+            kind = model.ErrorKind.TARGET_TIMEOUT
+        else:
+            kind = model.ErrorKind.QUEUE_TIMEOUT
+        refusal = model.Refusal(
+            kind, "the deadline has passed", retry_after_ms=1_000
+        )
+        return self._refused(request, refusal)
+
+    def _note(
+        self,
+        request: requests.TargetRequest,
+        result: failedattempt.FailedAttempt,
+        now_ms: float,
+    ) -> None:
+        self._journal.record(
+            observe.Decision(
+                at_ms=now_ms,
+                kind="attempt_failed",
+                reason=result.failure.refusal.detail,
+                request=request.id,
+                team=request.team,
+                target=result.target,
+            )
+        )
--- /dev/null
+++ b/src/pomeloward/dispatch/failure.py
@@ -0,0 +1,108 @@
+"""Classifies how an attempt at a target failed."""
+
+import dataclasses
+
+import httpx
+
+from pomeloward import model
+from pomeloward.dispatch import outcome as outcomes
+
+# The header and value by which a target says that it did not start a
+# request; part of the targets' published contract.
+RUN_STATE_HEADER = "run-state"
+RUN_STATE_NOT_RUN = "not_run"
+
+
+class PermissionLapsed(model.PomelowardError):
+    """A slot or run permit ended before the first byte was sent."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """A failed attempt: evidence on the target and on the run.
+
+    ``proof`` is None when the request may have run on the target.
+    """
+
+    outcome: outcomes.Outcome
+    refusal: model.Refusal
+    proof: model.NotRunProof | None
+
+
+def classify_error(error: Exception, is_sent: bool) -> Failure:
+    """Classify an exception of an attempt.
+
+    ``is_sent`` tells whether the sending of the first byte had begun.
+    """
+    name = type(error).__name__
+    if is_sent:
+        return _after_sending(error, name)
+    proof = model.NotRunProof(model.NotRunReason.NOT_SENT, name)
+    if isinstance(error, PermissionLapsed):
+        return Failure(
+            outcomes.Outcome.CANCELLED,
+            model.Refusal(
+                model.ErrorKind.NO_CAPACITY, str(error), retry_after_ms=1_000
+            ),
+            proof,
+        )
+    if isinstance(error, httpx.PoolTimeout):
+        outcome = outcomes.Outcome.CANCELLED
+    else:
+        outcome = outcomes.Outcome.CONNECT_FAILED
+    return Failure(
+        outcome,
+        model.Refusal(
+            model.ErrorKind.TARGET_UNREACHABLE,
+            f"the target could not be reached ({name})",
+            retry_after_ms=1_000,
+        ),
+        proof,
+    )
+
+
+def classify_status(status: int, run_state: str | None) -> Failure | None:
+    """Classify an answer; None is an answer that the caller gets."""
+    if status == 503 and run_state == RUN_STATE_NOT_RUN:
+        return Failure(
+            outcomes.Outcome.SHED,
+            model.Refusal(
+                model.ErrorKind.TARGET_REFUSED,
+                "the target is shedding load",
+                retry_after_ms=1_000,
+            ),
+            model.NotRunProof(
+                model.NotRunReason.REFUSED_BY_CONTRACT,
+                "503 with Run-State: not_run",
+            ),
+        )
+    if status >= 500:
+        return Failure(
+            outcomes.Outcome.ERROR,
+            model.Refusal(
+                model.ErrorKind.TARGET_FAILED,
+                f"the target answered {status}",
+            ),
+            None,
+        )
+    return None
+
+
+def _after_sending(error: Exception, name: str) -> Failure:
+    if isinstance(error, httpx.TimeoutException):
+        return Failure(
+            outcomes.Outcome.TIMEOUT,
+            model.Refusal(
+                model.ErrorKind.TARGET_TIMEOUT,
+                f"the target did not answer in time ({name})",
+            ),
+            None,
+        )
+    return Failure(
+        outcomes.Outcome.ERROR,
+        model.Refusal(
+            model.ErrorKind.TARGET_FAILED,
+            f"the connection to the target failed ({name})",
+        ),
+        None,
+    )
--- /dev/null
+++ b/src/pomeloward/dispatch/sender.py
@@ -0,0 +1,108 @@
+"""Sends one attempt and classifies how it ended."""
+
+import anyio
+import httpx
+
+from pomeloward import model
+from pomeloward.dispatch import answer as answers
+from pomeloward.dispatch import attempt as attempts
+from pomeloward.dispatch import failedattempt
+from pomeloward.dispatch import failure as failures
+from pomeloward.dispatch import head
+from pomeloward.dispatch import links
+from pomeloward.dispatch import outcome as outcomes
+from pomeloward.dispatch import request as requests
+from pomeloward.dispatch import steps
+
+AttemptResult = answers.Answer | failedattempt.FailedAttempt
+
+
+class Sender:
+    """Runs attempts over the host's links to targets."""
+
+    def __init__(
+        self,
+        targets: steps.Targets,
+        target_links: links.Links,
+        connect_ms: float,
+        stream_idle_ms: float,
+    ) -> None:
+        self._targets = targets
+        self._links = target_links
+        self._connect_ms = connect_ms
+        self._stream_idle_ms = stream_idle_ms
+
+    async def send(
+        self, request: requests.TargetRequest, hold: steps.SlotHold
+    ) -> AttemptResult:
+        """Send a request under a slot; the slot is always given back."""
+        target = self._targets.target(hold.target)
+        if target is None:
+            hold.release(outcomes.Outcome.CANCELLED, 0.0)
+            return failedattempt.FailedAttempt(hold.target, _gone(hold.target))
+        attempt = attempts.Attempt(
+            request,
+            hold,
+            self._links.link(target, self._targets.connections(target)),
+            self._connect_ms,
+            self._stream_idle_ms,
+        )
+        started_ms = anyio.current_time() * 1_000
+        try:
+            response = await attempt.run()
+        except (httpx.HTTPError, failures.PermissionLapsed) as error:
+            failure = failures.classify_error(error, attempt.is_sent)
+            latency_ms = anyio.current_time() * 1_000 - started_ms
+            hold.release(failure.outcome, latency_ms)
+            return failedattempt.FailedAttempt(hold.target, failure)
+        except BaseException:
+            latency_ms = anyio.current_time() * 1_000 - started_ms
+            hold.release(outcomes.Outcome.CANCELLED, latency_ms)
+            raise
+        return self._judge(request, hold, response, started_ms)
+
+    def _judge(
+        self,
+        request: requests.TargetRequest,
+        hold: steps.SlotHold,
+        response: httpx.Response,
+        started_ms: float,
+    ) -> AttemptResult:
+        latency_ms = anyio.current_time() * 1_000 - started_ms
+        answer = answers.Answer(
+            response, hold, latency_ms, head.clean(response.headers.raw)
+        )
+        run_state = response.headers.get(failures.RUN_STATE_HEADER)
+        failure = failures.classify_status(response.status_code, run_state)
+        if failure is None and head.has_known_length(request.method, response):
+            return answer
+        if failure is None:
+            failure = _no_length()
+            answer.is_unusable = True
+        if failure.proof is not None:
+            request.evidence.prove_not_run(failure.proof)
+        answer.outcome = failure.outcome
+        return failedattempt.FailedAttempt(hold.target, failure, answer)
+
+
+def _gone(target: model.TargetId) -> failures.Failure:
+    return failures.Failure(
+        outcomes.Outcome.CANCELLED,
+        model.Refusal(
+            model.ErrorKind.NO_CAPACITY,
+            f"target {target} left the configuration",
+            retry_after_ms=1_000,
+        ),
+        model.NotRunProof(model.NotRunReason.NOT_SENT, "target is gone"),
+    )
+
+
+def _no_length() -> failures.Failure:
+    return failures.Failure(
+        outcomes.Outcome.ERROR,
+        model.Refusal(
+            model.ErrorKind.TARGET_FAILED,
+            "the target's answer does not show where it ends",
+        ),
+        None,
+    )
--- a/src/pomeloward/entry/__init__.py
+++ b/src/pomeloward/entry/__init__.py
@@ -1,1 +1,17 @@
-"""The ASGI application that callers connect to."""
+"""The callers' side: HTTP, websockets and the host's own endpoints."""
+
+from pomeloward.entry.admin import Admin as Admin
+from pomeloward.entry.application import Application as Application
+from pomeloward.entry.gatekeeper import Gatekeeper as Gatekeeper
+from pomeloward.entry.handler import Handler as Handler
+from pomeloward.entry.openwork import OpenWork as OpenWork
+from pomeloward.entry.recorded import RecordedAnswer as RecordedAnswer
+from pomeloward.entry.recorder import Recorder as Recorder
+from pomeloward.entry.server import serve as serve
+from pomeloward.entry.steps import AddressAnswer as AddressAnswer
+from pomeloward.entry.steps import AddressBook as AddressBook
+from pomeloward.entry.steps import Budget as Budget
+from pomeloward.entry.steps import Claim as Claim
+from pomeloward.entry.steps import HostStatus as HostStatus
+from pomeloward.entry.steps import Orders as Orders
+from pomeloward.entry.websocket import WebsocketHandler as WebsocketHandler
--- /dev/null
+++ b/src/pomeloward/entry/body.py
@@ -0,0 +1,101 @@
+"""The body of a caller's request."""
+
+import collections.abc
+import typing
+
+import anyio
+
+from pomeloward import model
+
+Receive = collections.abc.Callable[
+    [], collections.abc.Awaitable[dict[str, typing.Any]]
+]
+
+
+class CallerGone(model.PomelowardError):
+    """The caller's connection ended before the request was complete."""
+
+
+class BodyTooLarge(model.PomelowardError):
+    """A body grew over its limit."""
+
+
+class RequestBody:
+    """Reads a body once and keeps its start for another attempt.
+
+    Up to ``replay_bytes`` are kept; beyond that the body is streamed to one
+    target only, one chunk at a time. ``limit_bytes`` bounds the whole.
+    """
+
+    def __init__(
+        self, receive: Receive, limit_bytes: int, replay_bytes: int
+    ) -> None:
+        self._receive = receive
+        self._limit_bytes = limit_bytes
+        self._replay_bytes = replay_bytes
+        self._size = 0
+        self._kept: list[bytes] = []
+        self._is_kept_whole = True
+        self.ended = anyio.Event()
+
+    @property
+    def can_replay(self) -> bool:
+        """Whether another attempt can get the body from its start."""
+        return self._is_kept_whole
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether the last byte has come from the caller."""
+        return self.ended.is_set()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether the body has ended without a byte."""
+        return self.is_ended and not self._size
+
+    async def chunks(self) -> collections.abc.AsyncIterator[bytes]:
+        """Iterate over the body from its start.
+
+        Raises ``CallerGone`` and ``BodyTooLarge``.
+        """
+        for chunk in tuple(self._kept):
+            yield chunk
+        while not self.is_ended:
+            chunk = await self._next()
+            if chunk:
+                yield chunk
+
+    async def read_whole(self, limit_bytes: int) -> bytes:
+        """Read the body into memory; raises ``BodyTooLarge``."""
+        self._limit_bytes = min(self._limit_bytes, limit_bytes)
+        self._replay_bytes = max(self._replay_bytes, limit_bytes)
+        while not self.is_ended:
+            await self._next()
+        return b"".join(self._kept)
+
+    async def read_if_at_hand(self) -> None:
+        """Read the end of a request that has no body."""
+        while not self.is_ended and not self._size:
+            await self._next()
+
+    def stop(self) -> None:
+        """Read no more, since the answer did not wait for the rest."""
+        self.ended.set()
+
+    async def _next(self) -> bytes:
+        message = await self._receive()
+        if message["type"] != "http.request":
+            raise CallerGone("the caller left during its request")
+        chunk: bytes = message.get("body", b"")
+        self._size += len(chunk)
+        if self._size > self._limit_bytes:
+            raise BodyTooLarge(f"the body is over {self._limit_bytes} bytes")
+        if self._size <= self._replay_bytes:
+            if chunk:
+                self._kept.append(chunk)
+        else:
+            self._is_kept_whole = False
+            self._kept.clear()
+        if not message.get("more_body", False):
+            self.ended.set()
+        return chunk
--- /dev/null
+++ b/src/pomeloward/entry/handler.py
@@ -0,0 +1,232 @@
+"""Runs one HTTP request through the steps of a host."""
+
+import anyio
+
+from pomeloward import dispatch
+from pomeloward import model
+from pomeloward import settings
+from pomeloward.entry import body as bodies
+from pomeloward.entry import callerrequest
+from pomeloward.entry import delivery
+from pomeloward.entry import exchange as exchanges
+from pomeloward.entry import gatekeeper as gatekeepers
+from pomeloward.entry import grant as grants
+from pomeloward.entry import openwork
+from pomeloward.entry import orderpath
+from pomeloward.entry import recorder as recorders
+from pomeloward.entry import steps
+from pomeloward.entry import targetrequests
+
+
+class Handler:
+    """The steps of a request in their order.
+
+    Key and route, order claim, rate, queue and slot with dispatch, and the
+    record of how it ended.
+    """
+
+    def __init__(
+        self,
+        gatekeeper: gatekeepers.Gatekeeper,
+        orders: steps.Orders,
+        budget: steps.Budget,
+        dispatcher: dispatch.Dispatcher,
+        open_work: openwork.OpenWork,
+        recorder: recorders.Recorder,
+        limits: settings.Limits,
+    ) -> None:
+        self._gatekeeper = gatekeeper
+        self._orders = orders
+        self._budget = budget
+        self._dispatcher = dispatcher
+        self._open_work = open_work
+        self._recorder = recorder
+        self._limits = limits
+
+    async def handle(
+        self,
+        request: callerrequest.CallerRequest,
+        exchange: exchanges.Exchange,
+        now_ms: float,
+    ) -> None:
+        """Serve a request that has passed its checks of form."""
+        granted = self._gatekeeper.decide(
+            request, len(self._open_work), now_ms
+        )
+        if granted.is_error():
+            await self._refuse(exchange, granted.error)
+            return
+        body = bodies.RequestBody(
+            exchange.receive,
+            self._limits.body_bytes,
+            self._limits.replay_bytes,
+        )
+        work = await self._run_watched(
+            request, granted.ok, body, exchange, now_ms
+        )
+        if work.ended_by is not None and not exchange.is_complete:
+            await self._end(work, exchange)
+
+    async def _run_watched(
+        self,
+        request: callerrequest.CallerRequest,
+        grant: grants.Grant,
+        body: bodies.RequestBody,
+        exchange: exchanges.Exchange,
+        now_ms: float,
+    ) -> openwork.Work:
+        """Run a request until it ends or its work is ended from outside."""
+        async with anyio.create_task_group() as tasks:
+            work = self._open_work.add(request.id, grant, tasks.cancel_scope)
+            tasks.start_soon(_watch, request, body, exchange, work)
+            try:
+                await self._run(request, grant, body, exchange, now_ms)
+            except bodies.CallerGone:
+                work.end(model.ErrorKind.CALLER_GONE)
+            except bodies.BodyTooLarge as error:
+                work.end(model.ErrorKind.BODY_TOO_LARGE)
+                self._recorder.decision("body_too_large", str(error))
+            except dispatch.AnswerCut as error:
+                work.end(model.ErrorKind.TARGET_FAILED)
+                self._recorder.decision(
+                    "answer_cut", str(error), request.id, grant.team
+                )
+            finally:
+                self._open_work.remove(work)
+            tasks.cancel_scope.cancel()
+        return work
+
+    async def _run(
+        self,
+        request: callerrequest.CallerRequest,
+        grant: grants.Grant,
+        body: bodies.RequestBody,
+        exchange: exchanges.Exchange,
+        now_ms: float,
+    ) -> None:
+        if request.has_body and request.content_length is None:
+            # Only now is it known whether an HTTP/2 request has a body.
+            await body.read_if_at_hand()
+            request.has_body = not body.is_empty
+        outgoing = targetrequests.build(request, grant, body, now_ms)
+        if not grant.route.is_idempotent:
+            await self._run_order(request, outgoing, body, exchange)
+            return
+        refusal = await self._take_rate(grant.team)
+        if refusal is not None:
+            await self._refuse(exchange, refusal, grant.team)
+            return
+        result = await self._dispatcher.send(outgoing)
+        body.stop()
+        if result.is_error():
+            await self._refuse(exchange, result.error.refusal, grant.team)
+            return
+        answer = result.ok
+        self._recorder.answered(
+            request.id,
+            grant.route.id,
+            grant.team,
+            answer.target,
+            anyio.current_time() * 1_000 - now_ms,
+        )
+        await delivery.deliver(answer, exchange)
+
+    async def _run_order(
+        self,
+        request: callerrequest.CallerRequest,
+        outgoing: dispatch.TargetRequest,
+        body: bodies.RequestBody,
+        exchange: exchanges.Exchange,
+    ) -> None:
+        if request.order_key is None:
+            refusal = model.Refusal(
+                model.ErrorKind.ORDER_KEY_MISSING,
+                "the route needs an Idempotency-Key",
+            )
+            await self._refuse(exchange, refusal, outgoing.team)
+            return
+        data = await body.read_whole(self._limits.order_body_bytes)
+        claimed = await self._orders.claim(
+            outgoing.team,
+            outgoing.route.id,
+            request.order_key,
+            orderpath.digest(request.method, request.target_path, data),
+        )
+        if claimed.is_error():
+            await self._refuse(exchange, claimed.error, outgoing.team)
+            return
+        answer = claimed.ok.answer
+        if answer is None:
+            run = orderpath.OrderRun(claimed.ok, outgoing)
+            too_much = await self._take_rate_of_order(claimed.ok, outgoing)
+            if too_much is not None:
+                await self._refuse(exchange, too_much, outgoing.team)
+                return
+            ended = await run.run(self._dispatcher)
+            if isinstance(ended, dispatch.Failed):
+                await self._refuse(exchange, ended.refusal, outgoing.team)
+                return
+            answer = ended
+        await exchange.start(answer.status, list(answer.headers))
+        await exchange.finish(answer.body)
+
+    async def _take_rate(self, team: model.TeamId) -> model.Refusal | None:
+        if team == grants.NO_TEAM:
+            return None
+        taken = await self._budget.take(team)
+        return taken.error if taken.is_error() else None
+
+    async def _take_rate_of_order(
+        self, claim: steps.Claim, outgoing: dispatch.TargetRequest
+    ) -> model.Refusal | None:
+        """Take a token under a claim; the claim never outlives a refusal."""
+        refusal: model.Refusal | None = None
+        is_taken = False
+        try:
+            refusal = await self._take_rate(outgoing.team)
+            is_taken = refusal is None
+        finally:
+            proof = outgoing.evidence.proof
+            if not is_taken and proof is not None:
+                with anyio.move_on_after(1.0, shield=True):
+                    await claim.clear(proof)
+        return refusal
+
+    async def _refuse(
+        self,
+        exchange: exchanges.Exchange,
+        refusal: model.Refusal,
+        team: model.TeamId | None = None,
+    ) -> None:
+        self._recorder.refused(refusal, exchange.request, team)
+        await exchange.refuse(refusal)
+
+    async def _end(
+        self, work: openwork.Work, exchange: exchanges.Exchange
+    ) -> None:
+        """Answer work that was ended from outside, or abort its answer."""
+        assert work.ended_by is not None
+        refusal = model.Refusal(
+            work.ended_by, f"the request was ended: {work.ended_by.value}"
+        )
+        self._recorder.refused(refusal, work.request, work.grant.team)
+        if exchange.is_started:
+            await exchange.abort()
+        elif work.ended_by is not model.ErrorKind.CALLER_GONE:
+            await exchange.refuse(refusal)
+
+
+async def _watch(
+    request: callerrequest.CallerRequest,
+    body: bodies.RequestBody,
+    exchange: exchanges.Exchange,
+    work: openwork.Work,
+) -> None:
+    """End the work when its caller leaves."""
+    if request.has_body:
+        await body.ended.wait()
+    while True:
+        message = await exchange.receive()
+        if message["type"] == "http.disconnect":
+            work.end(model.ErrorKind.CALLER_GONE)
+            return
--- /dev/null
+++ b/src/pomeloward/entry/recorder.py
@@ -0,0 +1,102 @@
+"""Records the end of each request."""
+
+import anyio
+
+from pomeloward import model
+from pomeloward import observe
+
+
+class Recorder:
+    """Writes metrics, journal and log of requests.
+
+    Only ids, kinds and numbers are recorded; nothing of a request's
+    headers, query or cookies, so that no key can be among it.
+    """
+
+    def __init__(
+        self,
+        metrics: observe.Metrics,
+        journal: observe.Journal,
+        log: observe.Log,
+    ) -> None:
+        self._metrics = metrics
+        self._journal = journal
+        self._log = log
+
+    def decision(
+        self,
+        kind: str,
+        reason: str,
+        request: model.RequestId | None = None,
+        team: model.TeamId | None = None,
+        target: model.TargetId | None = None,
+    ) -> None:
+        """Record a decision in journal and log."""
+        entry = observe.Decision(
+            at_ms=anyio.current_time() * 1_000,
+            kind=kind,
+            reason=reason,
+            request=request,
+            team=team,
+            target=target,
+        )
+        self._journal.record(entry)
+        self._log.decision(entry)
+
+    def refused(
+        self,
+        refusal: model.Refusal,
+        request: model.RequestId,
+        team: model.TeamId | None = None,
+    ) -> None:
+        """Record a refusal."""
+        kind = refusal.kind.value
+        self._metrics.count("pomeloward_refusals_total", (("kind", kind),))
+        self._journal.record(
+            observe.Decision(
+                at_ms=anyio.current_time() * 1_000,
+                kind="refused",
+                reason=f"{kind}: {refusal.detail}",
+                request=request,
+                team=team,
+            )
+        )
+
+    def answered(
+        self,
+        request: model.RequestId,
+        route: model.RouteId,
+        team: model.TeamId,
+        target: model.TargetId,
+        added_ms: float,
+    ) -> None:
+        """Record the head of a target's answer."""
+        self._metrics.observe_ms("pomeloward_head_seconds", added_ms)
+        self._journal.record(
+            observe.Decision(
+                at_ms=anyio.current_time() * 1_000,
+                kind="answered",
+                reason=route,
+                request=request,
+                team=team,
+                target=target,
+            )
+        )
+
+    def ended(
+        self, request: model.RequestId, status: int, started_ms: float
+    ) -> None:
+        """Record the end of a request."""
+        now_ms = anyio.current_time() * 1_000
+        self._metrics.count(
+            "pomeloward_requests_total", (("status", str(status)),)
+        )
+        self._log.request(
+            now_ms,
+            status >= 400 or status == 0,
+            {
+                "request": request,
+                "status": status,
+                "duration_ms": round(now_ms - started_ms, 3),
+            },
+        )
--- a/src/pomeloward/gateway/__init__.py
+++ b/src/pomeloward/gateway/__init__.py
@@ -1,1 +1,3 @@
-"""The composition root: builds, wires, starts and stops the parts."""
+"""The composition root: builds, runs and stops the parts of a host."""
+
+from pomeloward.gateway.gateway import Gateway as Gateway
