--- a/src/pomeloward/gateway/gateway.py
+++ b/src/pomeloward/gateway/gateway.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from pomeloward import catalog
 from pomeloward import dispatch
 from pomeloward import entry
 from pomeloward import model
@@ -33,7 +34,7 @@
     def __init__(self, host_settings: settings.Settings) -> None:
         self._settings = host_settings
         self._rng = random.Random(host_settings.host_id)  # noqa: S311
-        self._view = fileview.load(
+        self._view: catalog.View = fileview.load(
             pathlib.Path(host_settings.configuration_file)
         )
         self._condition = condition.Condition(
@@ -55,12 +56,39 @@
                 tasks.start_soon(self._watch_signals)
                 self._condition.state = model.HostState.READY
                 _quiet_collector()
-                await entry.serve(app, self._settings, self._wait_for_stop)
-                tasks.cancel_scope.cancel()
+                tasks.start_soon(self._serve, app, tasks.cancel_scope)
         finally:
             with anyio.CancelScope(shield=True):
                 await links.aclose()
 
+    def stop(self) -> None:
+        """Begin the graceful stop."""
+        self._stopping.set()
+
+    def configuration_changed(self, view: catalog.View) -> None:
+        """Put a newer configuration in force and end withdrawn work."""
+        self._view = view
+        ended = self._open_work.end_withdrawn(view)
+        if ended:
+            self._journal.record(
+                observe.Decision(
+                    at_ms=anyio.current_time() * 1_000,
+                    kind="keys_withdrawn",
+                    reason=f"ended {ended} open requests",
+                )
+            )
+
+    async def _serve(
+        self, app: entry.Application, scope: anyio.CancelScope
+    ) -> None:
+        """Serve in a task of its own.
+
+        hypercorn stops by an asyncio task group that leaves its own task
+        marked as cancelled.
+        """
+        await entry.serve(app, self._settings, self._wait_for_stop)
+        scope.cancel()
+
     def _application(self, links: dispatch.Links) -> entry.Application:
         limits = self._settings.limits
         view = self._condition
@@ -114,7 +142,7 @@
             signal.SIGTERM, signal.SIGINT
         ) as signals:
             async for _ in signals:
-                self._stopping.set()
+                self.stop()
 
     async def _wait_for_stop(self) -> None:
         """Drain: return only when no work is open any more."""
