Add controller, service client and fair queue

Cause: requests need slots that are counted over all hosts, gray targets have to be ejected above the floor, and waiting has to be fair by team.

--- a/src/pomeloward/queue/__init__.py
+++ b/src/pomeloward/queue/__init__.py
@@ -1,1 +1,4 @@
-"""The fair queue between teams, and load shedding."""
+"""Fair waiting for slots, deadlines and load shedding."""
+
+from pomeloward.queue.admission import Admission as Admission
+from pomeloward.queue.ticket import Ticket as Ticket
--- /dev/null
+++ b/src/pomeloward/service/hostslots.py
@@ -0,0 +1,264 @@
+"""Slots of one service on one host."""
+
+import collections.abc
+import random
+
+from pomeloward import model
+from pomeloward.service import avoidance
+from pomeloward.service import evidencebook
+from pomeloward.service import messages
+from pomeloward.service import outcome as outcome_
+from pomeloward.service import targetset
+from pomeloward.service import targetstate
+from pomeloward.service import tuning as tuning_
+
+# Weight of one request in the usual run time; covers about 20 requests.
+_RUN_WEIGHT = 0.05
+
+# Target, route, team and start of a request that holds a slot.
+_Run = tuple[model.TargetId, model.RouteId, model.TeamId, float]
+
+
+class HostSlots:
+    """What a host may use of a service, by its controller's last answer.
+
+    Only the answer to the latest report is applied, and never one of an
+    older epoch. Sending a report gives idle slots up that are not needed.
+    """
+
+    def __init__(
+        self,
+        service: model.ServiceId,
+        incarnation: int,
+        tuning: tuning_.Tuning,
+        rng: random.Random,
+    ) -> None:
+        self.service = service
+        self.evidence = evidencebook.EvidenceBook()
+        self.waiting: dict[model.TeamId, int] = {}
+        self.usual_run_ms = 0.0
+        self._incarnation = incarnation
+        self._tuning = tuning
+        self._rng = rng
+        self._avoidance = avoidance.Avoidance(rng)
+        self._sequence = 0
+        self._epoch = 0
+        self._asked_ms = 0.0
+        self._echo_ms = 0.0
+        self._digest = 0
+        self._index: dict[model.TargetId, int] = {}
+        self._granted: dict[model.TargetId, int] = {}
+        self._running: dict[int, _Run] = {}
+        self._in_use: dict[model.TargetId, int] = {}
+        self._next_run = 0
+        self._slots: dict[model.TargetId, int] = {}
+        self._stopped: frozenset[model.TargetId] = frozenset()
+        self._shunned: frozenset[model.TargetId] = frozenset()
+        self._states = b""
+        self._states_ms = float("-inf")
+        self._avoid_slots = 0
+        self._reserve = 0
+        self._permission = model.Permission(float("-inf"), 0.0)
+
+    def configure(
+        self,
+        slots: collections.abc.Mapping[model.TargetId, int],
+        stopped: collections.abc.Iterable[model.TargetId],
+    ) -> None:
+        """Take the targets' slots, and the targets without new work."""
+        self._slots = dict(slots)
+        self._stopped = frozenset(stopped)
+
+    def avoided(self, now_ms: float) -> frozenset[model.TargetId]:
+        """Return the targets avoided by this host's own judgement."""
+        return self._avoidance.active(self._slots, self._avoid_slots, now_ms)
+
+    def may_start(self, target: model.TargetId, now_ms: float) -> bool:
+        """Tell whether a request that has a slot may be sent now."""
+        return (
+            self._permission.is_valid(now_ms)
+            and target not in self._stopped
+            and self._granted.get(target, 0) > 0
+        )
+
+    def acquire(
+        self,
+        route: model.RouteId,
+        team: model.TeamId,
+        avoid: collections.abc.Set[model.TargetId],
+        now_ms: float,
+    ) -> tuple[int, model.TargetId] | None:
+        """Take an idle slot; return the number of the run and its target."""
+        if not self._permission.is_valid(now_ms):
+            return None
+        out = self._stopped | self.avoided(now_ms)
+        idle = [
+            (count - self._in_use.get(target, 0), target)
+            for target, count in self._granted.items()
+            if count > self._in_use.get(target, 0) and target not in out
+        ]
+        usable = [pair for pair in idle if pair[1] not in avoid]
+        if not usable:
+            if idle:
+                self._shunned = frozenset(avoid)
+            return None
+        most = max(usable)[0]
+        target = self._rng.choice(
+            sorted(target for count, target in usable if count == most)
+        )
+        self._in_use[target] = self._in_use.get(target, 0) + 1
+        self._next_run += 1
+        self._running[self._next_run] = (target, route, team, now_ms)
+        return self._next_run, target
+
+    def release(
+        self,
+        run: int,
+        outcome: outcome_.Outcome,
+        latency_ms: float,
+        now_ms: float,
+    ) -> None:
+        """End a run and take its evidence."""
+        target, route, _, started_ms = self._running.pop(run)
+        if outcome is not outcome_.Outcome.CANCELLED:
+            run_ms = now_ms - started_ms
+            self.usual_run_ms += _RUN_WEIGHT * (run_ms - self.usual_run_ms)
+        self._in_use[target] -= 1
+        if not self._in_use[target]:
+            del self._in_use[target]
+        self.evidence.finish(target, route, outcome, latency_ms)
+        self._avoidance.note(target, outcome, now_ms)
+
+    def is_short(self, now_ms: float) -> bool:
+        """Tell whether there is demand that the slots do not meet."""
+        return sum(self.waiting.values()) > self._idle(now_ms)
+
+    def has_excess(self, now_ms: float) -> bool:
+        """Tell whether there are idle slots to give back."""
+        spare = self._idle(now_ms) - sum(self.waiting.values())
+        return spare > self._reserve
+
+    def is_busy(self) -> bool:
+        """Tell whether requests wait or run."""
+        return bool(self._running or self.waiting)
+
+    def report(self, now_ms: float) -> messages.Report:
+        """Return the next report; idle slots that it leaves out are gone."""
+        avoided = self.avoided(now_ms) | self._shunned
+        self._give_up(avoided, now_ms)
+        self._shunned = frozenset()
+        self._sequence += 1
+        self._asked_ms = now_ms
+        held = {
+            target: max(
+                self._granted.get(target, 0), self._in_use.get(target, 0)
+            )
+            for target in self._granted.keys() | self._in_use.keys()
+        }
+        return messages.Report(
+            service=self.service,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            epoch=self._epoch,
+            table=self._digest,
+            echo_ms=self._echo_ms,
+            held=self._indexed(held),
+            demand=tuple(sorted(self._demand().items())),
+            evidence=self.evidence.take(self._index, self._ages(now_ms)),
+            avoided=tuple(
+                self._index[target]
+                for target in sorted(avoided)
+                if target in self._index
+            ),
+            states=self._states,
+            states_age_ms=min(now_ms - self._states_ms, 1e9),
+        )
+
+    def apply(self, answer: messages.Answer) -> bool:
+        """Apply an answer; return whether to report again at once."""
+        if answer.sequence != self._sequence or answer.epoch < self._epoch:
+            return False
+        self._epoch = answer.epoch
+        self._echo_ms = answer.clock_ms
+        if answer.targets:
+            self._take_table(answer.targets)
+        if not answer.is_agreed:
+            return answer.epoch > 0
+        ids = list(self._index)
+        self._granted = {ids[index]: count for index, count in answer.grants}
+        self._permission = model.Permission(
+            self._asked_ms, self._tuning.loan_ms
+        )
+        self._states = answer.states
+        self._states_ms = self._asked_ms
+        self._avoid_slots = answer.avoid_slots
+        self._reserve = answer.reserve
+        return False
+
+    def probed(self, answer: messages.Answer) -> list[model.TargetId]:
+        """Return the targets that an answer asks this host to probe."""
+        ids = list(self._index)
+        return [ids[index] for index in answer.probes if index < len(ids)]
+
+    def _take_table(self, targets: tuple[model.TargetId, ...]) -> None:
+        self._states = _reorder(self._states, list(self._index), targets)
+        self._index = {target: index for index, target in enumerate(targets)}
+        self._digest = targetset.table_digest(targets)
+
+    def _demand(self) -> dict[model.TeamId, int]:
+        demand = dict(self.waiting)
+        for _, _, team, _ in self._running.values():
+            demand[team] = demand.get(team, 0) + 1
+        return demand
+
+    def _idle(self, now_ms: float) -> int:
+        if not self._permission.is_valid(now_ms):
+            return 0
+        return sum(
+            max(0, count - self._in_use.get(target, 0))
+            for target, count in self._granted.items()
+            if target not in self._shunned
+        )
+
+    def _give_up(
+        self, avoided: frozenset[model.TargetId], now_ms: float
+    ) -> None:
+        """Drop idle slots beyond the demand and the reserve."""
+        is_valid = self._permission.is_valid(now_ms)
+        keep = sum(self.waiting.values()) + self._reserve
+        out = avoided | self._stopped
+        for target, count in list(self._granted.items()):
+            busy = self._in_use.get(target, 0)
+            idle = max(0, min(count - busy, keep))
+            if not is_valid or target in out:
+                idle = 0
+            keep -= idle
+            self._granted[target] = min(count, busy + idle)
+
+    def _indexed(
+        self, slots: collections.abc.Mapping[model.TargetId, int]
+    ) -> tuple[tuple[int, int], ...]:
+        return tuple(
+            (self._index[target], count)
+            for target, count in sorted(slots.items())
+            if count and target in self._index
+        )
+
+    def _ages(
+        self, now_ms: float
+    ) -> list[tuple[model.TargetId, model.RouteId, float]]:
+        return [
+            (target, route, now_ms - started_ms)
+            for target, route, _, started_ms in self._running.values()
+        ]
+
+
+def _reorder(
+    states: bytes,
+    old: list[model.TargetId],
+    new: tuple[model.TargetId, ...],
+) -> bytes:
+    """Carry states over to a new table; other targets are unknown."""
+    known = dict(zip(old, states, strict=False))
+    unknown = targetstate.TargetState.UNKNOWN.value
+    return bytes(known.get(target, unknown) for target in new)
--- /dev/null
+++ b/src/pomeloward/service/tuning.py
@@ -0,0 +1,60 @@
+"""Thresholds and times of target control."""
+
+import dataclasses
+import math
+
+from pomeloward import model
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tuning:
+    """Thresholds of one controller; times in ms, latencies in nats.
+
+    A nat is a factor of e: latency evidence is the natural logarithm of a
+    latency over the usual latency of its route on the reporting host.
+    """
+
+    # Promises 7 and 11 allow 3 s until no new work starts; a loan that was
+    # asked for just before a change ends within this time.
+    loan_ms: float = 2_900.0
+    report_ms: float = 500.0
+    # Longest time that a request holds its slot after its start.
+    hold_ms: float = 10_000.0
+    # How long a host's memory of a warm target counts for a new controller.
+    # A target that stops being warm gets no trial before it has passed.
+    hint_ms: float = 10_000.0
+    windows_ms: tuple[float, ...] = (1_000.0, 2_000.0, 4_000.0)
+    evaluate_ms: float = 250.0
+    # Evaluations in a row that must agree before an ejection.
+    confirmations: int = 2
+    z_score: float = 4.5
+    min_ratio: float = 3.0
+    fall_ratio: float = 2.0
+    min_count: int = 4
+    min_peers: int = 4
+    # Spread of targets' mean log latency that is always assumed.
+    spread_floor: float = 0.2
+    min_error_ratio: float = 0.25
+    min_errors: int = 4
+    ramp_ms: float = 1_000.0
+    trial_count: int = 5
+    backoff_ms: float = 10_000.0
+    max_backoff_ms: float = 300_000.0
+    jitter_ratio: float = 0.2
+    # Healthy time after which earlier ejections no longer lengthen backoff.
+    forgive_ms: float = 300_000.0
+
+    @property
+    def min_nats(self) -> float:
+        """The minimum ratio for an ejection, in nats."""
+        return math.log(self.min_ratio)
+
+    @property
+    def fall_nats(self) -> float:
+        """The minimum ratio for a fall to cold, in nats."""
+        return math.log(self.fall_ratio)
+
+    @property
+    def loan_wait_ms(self) -> float:
+        """How long a predecessor's loans may still start requests."""
+        return model.outstanding_until_ms(0.0, self.loan_ms)
--- /dev/null
+++ b/src/pomeloward/service/window.py
@@ -0,0 +1,96 @@
+"""Recent evidence about one target."""
+
+import collections
+import dataclasses
+
+from pomeloward import model
+from pomeloward.service import messages
+
+
+@dataclasses.dataclass(slots=True)
+class Sums:
+    """Sums of evidence over an interval; ``nats`` is a sum of samples."""
+
+    count: int = 0
+    errors: int = 0
+    sheds: int = 0
+    samples: int = 0
+    nats: float = 0.0
+
+
+class Window:
+    """Evidence of one target in sliding intervals.
+
+    Evidence is kept in buckets of ``bucket_ms``, at most ``span_ms`` long,
+    so its size does not depend on the load.
+    """
+
+    def __init__(self, bucket_ms: float, span_ms: float) -> None:
+        self._bucket_ms = bucket_ms
+        self._length = int(span_ms / bucket_ms) + 1
+        self._buckets: collections.deque[tuple[int, Sums]] = collections.deque(
+            maxlen=self._length
+        )
+        self._running: dict[model.HostId, tuple[int, float, float]] = {}
+        self._failures: dict[model.HostId, float] = {}
+
+    def add(
+        self, host: model.HostId, evidence: messages.Evidence, now_ms: float
+    ) -> None:
+        """Take the evidence of one report."""
+        number = int(now_ms // self._bucket_ms)
+        if not self._buckets or self._buckets[-1][0] != number:
+            self._buckets.append((number, Sums()))
+        sums = self._buckets[-1][1]
+        sums.count += evidence.count
+        sums.errors += evidence.errors
+        sums.sheds += evidence.sheds
+        sums.samples += evidence.samples
+        sums.nats += evidence.centinats / 100
+        if evidence.running:
+            nats = evidence.running_centinats / 100
+            self._running[host] = (evidence.running, nats, now_ms)
+        if evidence.connect_failures:
+            self._failures[host] = now_ms
+
+    def clear_running(self, host: model.HostId) -> None:
+        """Forget a host's requests under way before its next report."""
+        self._running.pop(host, None)
+
+    def clear(self) -> None:
+        """Forget everything, when the target starts anew."""
+        self._buckets.clear()
+        self._running.clear()
+        self._failures.clear()
+
+    def sums(self, interval_ms: float, now_ms: float) -> Sums:
+        """Return the sums of the last interval.
+
+        Requests under way that take long count as samples with the latency
+        they have reached, a lower bound of the one they will have.
+        """
+        total = Sums()
+        first = (now_ms - interval_ms) / self._bucket_ms
+        for number, sums in reversed(self._buckets):
+            if number < first:
+                break
+            total.count += sums.count
+            total.errors += sums.errors
+            total.sheds += sums.sheds
+            total.samples += sums.samples
+            total.nats += sums.nats
+        for running, nats, seen_ms in self._running.values():
+            if seen_ms > now_ms - interval_ms:
+                total.samples += running
+                total.nats += nats
+        return total
+
+    def failing_hosts(
+        self, interval_ms: float, now_ms: float
+    ) -> list[model.HostId]:
+        """Return the hosts whose connects failed in the last interval."""
+        return [
+            host
+            for host, seen_ms in self._failures.items()
+            if seen_ms > now_ms - interval_ms
+        ]
