Add the immutable configuration with validation

Cause: the gateway needs a View of the configuration in force that fits small hosts at the planned size and is cheap to change.

--- a/src/pomeloward/catalog/__init__.py
+++ b/src/pomeloward/catalog/__init__.py
@@ -1,5 +1,11 @@
 """The configuration: records, validation, versions and spreading."""
 
+from pomeloward.catalog.change import Change as Change
+from pomeloward.catalog.change import Deletion as Deletion
+from pomeloward.catalog.configuration import Configuration as Configuration
+from pomeloward.catalog.kind import Kind as Kind
+from pomeloward.catalog.kind import kind_of as kind_of
+from pomeloward.catalog.kind import name_of as name_of
 from pomeloward.catalog.records import Host as Host
 from pomeloward.catalog.records import Key as Key
 from pomeloward.catalog.records import Record as Record
