--- a/src/pomeloward/catalog/__init__.py
+++ b/src/pomeloward/catalog/__init__.py
@@ -18,4 +18,6 @@
 from pomeloward.catalog.records import Target as Target
 from pomeloward.catalog.records import Team as Team
 from pomeloward.catalog.records import Zone as Zone
+from pomeloward.catalog.snapshot import decode_shards as decode_shards
+from pomeloward.catalog.snapshot import encode_shards as encode_shards
 from pomeloward.catalog.view import View as View
--- /dev/null
+++ b/tests/platform/test_reader.py
@@ -0,0 +1,145 @@
+"""Tests of reading the platform over HTTP into a sink."""
+
+import random
+
+import anyio
+import pytest
+import trio
+import trio.testing
+
+from pomeloward import catalog
+from pomeloward import model
+from pomeloward import platform
+from pomeloward.catalog import change
+from tests.catalog import samples
+from tests.platform import fakes
+
+
+class Sink:
+    """Accepts what a configuration accepts."""
+
+    def __init__(self):
+        self.view = catalog.Configuration.empty()
+        self.rejected = []
+
+    def accepted_version(self):
+        return self.view.version
+
+    def on_published_change(self, payload, now_ms):
+        try:
+            self.view = self.view.applied(change.decode(payload))
+        except model.ConfigurationError as error:
+            self.rejected.append(str(error))
+
+    def on_published_snapshot(self, version, shards, now_ms):
+        found = catalog.decode_shards(shards)
+        self.view = catalog.Configuration.of_records(version, found)
+
+
+class NoPeers:
+    def handle(self, message_type, handler):
+        pass
+
+    async def ask(self, host, question, timeout_ms):
+        raise model.PeerUnavailable(host)
+
+
+def _run(script):
+    """Run ``script(memory, sink)`` beside a reader on a paused clock."""
+    memory, sink = fakes.MemoryPlatform(), Sink()
+
+    async def main():
+        choice = platform.ReaderChoice("h1", random.Random(1), 0.0)
+        choice.on_hosts("south", {"h1": "opuwo"}, 0.0)
+        budget = platform.ReadBudget(random.Random(1), 0.0)
+        async with memory.client() as client, anyio.create_task_group() as g:
+            source = platform.HttpPlatform(client, "http://platform")
+            reader = platform.Reader(source, choice, budget, sink, NoPeers())
+            g.start_soon(reader.run)
+            await script(memory, sink)
+            g.cancel_scope.cancel()
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(main, clock=clock)
+    return memory, sink
+
+
+def test_snapshot_then_changes_in_order():
+    """Guards against a reader that skips or reorders changes."""
+
+    async def script(memory, sink):
+        memory.publish_snapshot(samples.configuration(4))
+        await anyio.sleep(2)
+        assert sink.view.version == 4
+        for version in (5, 6, 7):
+            team = catalog.Team("crew", float(version), 20.0)
+            memory.publish(samples.change(version - 1, [team]))
+        await anyio.sleep(2)
+
+    _, sink = _run(script)
+    assert sink.view.version == 7
+    assert sink.view.team("crew").rate_per_s == 7.0
+    assert sink.rejected == []
+
+
+def test_rejected_change_uses_up_its_version():
+    """Guards against one bad change that blocks every later one."""
+
+    async def script(memory, sink):
+        memory.publish_snapshot(samples.configuration(4))
+        await anyio.sleep(2)
+        bad = catalog.Team("crew", -1.0, 20.0)
+        memory.publish(samples.change(4, [bad]))
+        good = catalog.Team("crew", 9.0, 20.0)
+        memory.publish(samples.change(4, [good], version=6))
+        await anyio.sleep(2)
+
+    _, sink = _run(script)
+    assert sink.view.version == 6
+    assert len(sink.rejected) == 1
+
+
+def test_change_that_appears_late_is_read():
+    """Guards against waiting forever for a value that lagged the head."""
+
+    async def script(memory, sink):
+        memory.publish_snapshot(samples.configuration(4))
+        await anyio.sleep(5)
+        memory.publish_head(platform.Head(5, 4, 1))
+        await anyio.sleep(5)
+        assert sink.view.version == 4
+        memory.put(platform.change_name(5), change.encode(samples.change(4)))
+        await anyio.sleep(5)
+
+    _, sink = _run(script)
+    assert sink.view.version == 5
+
+
+def test_reads_stay_bounded_while_the_platform_is_away():
+    """Guards against readers that storm a platform that is down."""
+
+    async def script(memory, sink):
+        memory.is_away = True
+        await anyio.sleep(600)
+        # One attempt for each 5 to 10 s, and the first few more often.
+        assert memory.attempts < 150
+        memory.is_away = False
+        memory.publish_snapshot(samples.configuration(4))
+        await anyio.sleep(12)
+
+    _, sink = _run(script)
+    assert sink.view.version == 4
+
+
+@pytest.mark.parametrize("payload", [b"", b"{", b'{"version": "x"}', b"\xff"])
+def test_malformed_head_is_survived(payload):
+    """Guards against a reader that ends on a malformed value."""
+
+    async def script(memory, sink):
+        memory.put(platform.HEAD_NAME, payload)
+        await anyio.sleep(1)
+        memory.publish_snapshot(samples.configuration(4))
+        await anyio.sleep(30)
+
+    _, sink = _run(script)
+    assert sink.view.version == 4
