Spread changes by pushes and pulls, ready after comparing versions

Cause: most hosts do not read the platform and may start while it is away or stale. Change: the pure Spreader with its store, change log, puller, page transfer and readiness; messages and a thin shell that is the reader's sink.

--- a/src/pomeloward/catalog/__init__.py
+++ b/src/pomeloward/catalog/__init__.py
@@ -3,6 +3,8 @@
 from pomeloward.catalog.change import Change as Change
 from pomeloward.catalog.change import Deletion as Deletion
 from pomeloward.catalog.configuration import Configuration as Configuration
+from pomeloward.catalog.contacts import contacts_of as contacts_of
+from pomeloward.catalog.contacts import push_targets as push_targets
 from pomeloward.catalog.kind import Kind as Kind
 from pomeloward.catalog.kind import kind_of as kind_of
 from pomeloward.catalog.kind import name_of as name_of
@@ -18,6 +20,8 @@
 from pomeloward.catalog.records import Target as Target
 from pomeloward.catalog.records import Team as Team
 from pomeloward.catalog.records import Zone as Zone
+from pomeloward.catalog.shell import Catalog as Catalog
 from pomeloward.catalog.snapshot import decode_shards as decode_shards
 from pomeloward.catalog.snapshot import encode_shards as encode_shards
+from pomeloward.catalog.spreader import Spreader as Spreader
 from pomeloward.catalog.view import View as View
--- /dev/null
+++ b/src/pomeloward/catalog/actions.py
@@ -0,0 +1,44 @@
+"""What the spreader asks its shell to do."""
+
+import dataclasses
+
+from pomeloward import model
+from pomeloward import peer
+from pomeloward.catalog import configuration
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tell:
+    """Send a notice that may be lost."""
+
+    host: model.HostId
+    notice: peer.Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """Send a question; its answer or failure comes back as an event."""
+
+    host: model.HostId
+    question: peer.Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Build:
+    """Build a configuration from the pages of a snapshot.
+
+    It takes seconds at the planned size, so it runs beside the loop.
+    """
+
+    version: model.Version
+    pages: tuple[bytes, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InForce:
+    """A configuration has come into force."""
+
+    configuration: configuration.Configuration
+
+
+Action = Tell | Ask | Build | InForce
--- a/src/pomeloward/catalog/configuration.py
+++ b/src/pomeloward/catalog/configuration.py
@@ -104,6 +104,16 @@
         """Return the number of records of a kind."""
         return len(self._state.tables[of_kind])
 
+    def payloads(
+        self, of_kind: kind.Kind, first: int, end: int
+    ) -> collections.abc.Iterator[bytes]:
+        """Iterate over the packed records of a range of shards."""
+        return self._state.tables[of_kind].payloads(first, end)
+
+    def has_same(self, of_kind: kind.Kind, other: "Configuration") -> bool:
+        """Tell whether no record of a kind was touched between versions."""
+        return self._state.tables[of_kind] is other._state.tables[of_kind]
+
     def contents(self) -> collections.abc.Iterator[records.Record]:
         """Iterate over all records, referred ones before referring ones."""
         for of_kind in kind.Kind:
--- a/src/pomeloward/catalog/state.py
+++ b/src/pomeloward/catalog/state.py
@@ -40,12 +40,18 @@
                 yield record
 
 
+CODECS = {
+    of_kind: codec.RecordCodec(record_type)
+    for record_type, of_kind in kind.KIND_OF_TYPE.items()
+}
+
+
 def empty_state() -> State:
     """Return a state without records."""
     return State(
         tables={
-            of_kind: table.Table(codec.RecordCodec(record_type))
-            for record_type, of_kind in kind.KIND_OF_TYPE.items()
+            of_kind: table.Table(record_codec)
+            for of_kind, record_codec in CODECS.items()
         },
         groups=table.Table(codec.GroupCodec()),
         counts=table.Table(codec.CountCodec()),
--- a/src/pomeloward/catalog/table.py
+++ b/src/pomeloward/catalog/table.py
@@ -51,13 +51,18 @@
         # Callers choose some names (paths), and the hash is not secure.
         return value if self._codec.name(value) == name else None
 
-    def values(
-        self, first: int = 0, end: int = SHARD_COUNT
-    ) -> collections.abc.Iterator[Value]:
-        """Iterate over the values of a range of shards."""
+    def values(self) -> collections.abc.Iterator[Value]:
+        """Iterate over all values, in the order of their hashes."""
+        for payload in self.payloads(0, SHARD_COUNT):
+            yield self._codec.decode(payload)
+
+    def payloads(
+        self, first: int, end: int
+    ) -> collections.abc.Iterator[bytes]:
+        """Iterate over the packed values of a range of shards."""
         for part in self._shards[first:end]:
             for _, payload in part.entries():
-                yield self._codec.decode(payload)
+                yield payload
 
     def payload_bytes(self) -> int:
         """Return the size of all packed values together."""
--- a/src/pomeloward/platform/__init__.py
+++ b/src/pomeloward/platform/__init__.py
@@ -11,6 +11,7 @@
 from pomeloward.platform.readbudget import ReadBudget as ReadBudget
 from pomeloward.platform.reader import Reader as Reader
 from pomeloward.platform.readerchoice import ReaderChoice as ReaderChoice
+from pomeloward.platform.rendezvous import ranked as ranked
 from pomeloward.platform.sink import Sink as Sink
 from pomeloward.platform.value import MAX_VALUE_BYTES as MAX_VALUE_BYTES
 from pomeloward.platform.value import Value as Value
--- a/src/pomeloward/platform/reader.py
+++ b/src/pomeloward/platform/reader.py
@@ -128,7 +128,7 @@
                 self._cursor.on_snapshot(step.version, False)
                 return
             shards.append(found.payload)
-        self._target.on_published_snapshot(step.version, shards, _now_ms())
+        await self._target.on_published_snapshot(step.version, shards)
         self._cursor.on_snapshot(step.version, True)
 
     async def _read_hosts(self) -> None:
--- a/src/pomeloward/platform/sink.py
+++ b/src/pomeloward/platform/sink.py
@@ -15,10 +15,9 @@
     def on_published_change(self, payload: bytes, now_ms: float) -> None:
         """Take the bytes of one change."""
 
-    def on_published_snapshot(
+    async def on_published_snapshot(
         self,
         version: model.Version,
         shards: collections.abc.Sequence[bytes],
-        now_ms: float,
     ) -> None:
         """Take all shards of a snapshot."""
--- a/tests/platform/test_reader.py
+++ b/tests/platform/test_reader.py
@@ -31,7 +31,7 @@
         except model.ConfigurationError as error:
             self.rejected.append(str(error))
 
-    def on_published_snapshot(self, version, shards, now_ms):
+    async def on_published_snapshot(self, version, shards):
         found = catalog.decode_shards(shards)
         self.view = catalog.Configuration.of_records(version, found)
 
