--- a/src/pomeloward/catalog/configuration.py
+++ b/src/pomeloward/catalog/configuration.py
@@ -1,24 +1,21 @@
 """The accepted configuration of one version."""
 
 import collections.abc
-import itertools
 import typing
 
 from pomeloward import model
 from pomeloward.catalog import change
 from pomeloward.catalog import draft
 from pomeloward.catalog import kind
+from pomeloward.catalog import loader
 from pomeloward.catalog import recordrules
 from pomeloward.catalog import records
+from pomeloward.catalog import rejection
 from pomeloward.catalog import relationrules
 from pomeloward.catalog import state
-from pomeloward.catalog import transitionrules
 
 _R = typing.TypeVar("_R", bound=records.Record)
 
-# A rejection names this many reasons, enough to repair a typical change.
-MAX_REASONS = 8
-
 
 class Configuration:
     """An immutable configuration that implements ``View``.
@@ -54,9 +51,7 @@
 
         Raises ``ConfigurationError`` when the records break a rule.
         """
-        first = model.Version(0)
-        whole = change.Change(first, version, put=tuple(found))
-        return cls.empty().applied(whole)
+        return cls(version, loader.load(version, found))
 
     @property
     def version(self) -> model.Version:
@@ -82,11 +77,13 @@
             )
         steps = draft.steps_of(self._state, changed)
         drafted = draft.Draft(self._state, steps)
-        _reject(changed, _step_reasons(self._state, steps))
+        rejection.reject(
+            changed.version, rejection.step_reasons(self._state, steps)
+        )
         new = drafted.build()
-        _reject(
-            changed,
-            relationrules.broken_rules(new, steps, drafted.references),
+        rejection.reject(
+            changed.version,
+            relationrules.broken_rules(new, steps, drafted.added_references()),
         )
         return Configuration(changed.version, new)
 
@@ -221,25 +218,3 @@
     def _group(self, of_type: type[_R], owner: str) -> list[_R]:
         found = self._state.group(kind.KIND_OF_TYPE[of_type], owner)
         return typing.cast("list[_R]", list(found))
-
-
-def _step_reasons(
-    base: state.State, steps: list[draft.Step]
-) -> collections.abc.Iterator[str]:
-    for step in steps:
-        place = f"{step.of_kind.value} {step.name}"
-        if step.new is not None:
-            for reason in recordrules.broken_rules(step.new):
-                yield f"{place}: {reason}"
-        for reason in transitionrules.broken_rules(base, step):
-            yield f"{place}: {reason}"
-
-
-def _reject(
-    changed: change.Change, reasons: collections.abc.Iterator[str]
-) -> None:
-    first = list(itertools.islice(reasons, MAX_REASONS))
-    if first:
-        raise model.ConfigurationError(
-            f"change {changed.version} rejected: {'; '.join(first)}"
-        )
--- a/src/pomeloward/catalog/draft.py
+++ b/src/pomeloward/catalog/draft.py
@@ -56,7 +56,7 @@
     def __init__(self, base: state.State, steps: list[Step]) -> None:
         self._base = base
         self._steps = steps
-        self.references: collections.Counter[tuple[kind.Kind, str]] = (
+        self._references: collections.Counter[tuple[kind.Kind, str]] = (
             collections.Counter()
         )
         self._left: dict[str, set[str]] = collections.defaultdict(set)
@@ -64,6 +64,14 @@
         for step in steps:
             self._trace(step)
 
+    def added_references(
+        self,
+    ) -> collections.abc.Iterator[tuple[kind.Kind, str]]:
+        """Iterate over the records that more records now refer to."""
+        for reference, difference in self._references.items():
+            if difference > 0:
+                yield reference
+
     def build(self) -> state.State:
         """Return the new state; it shares unchanged shards with the base."""
         return state.State(
@@ -75,12 +83,12 @@
     def _trace(self, step: Step) -> None:
         if step.old is not None:
             for reference in kind.references_of(step.old):
-                self.references[reference] -= 1
+                self._references[reference] -= 1
             for group in state.groups_of(step.old):
                 self._left[group].add(step.name)
         if step.new is not None:
             for reference in kind.references_of(step.new):
-                self.references[reference] += 1
+                self._references[reference] += 1
             for group in state.groups_of(step.new):
                 self._joined[group].add(step.name)
 
@@ -113,7 +121,7 @@
 
     def _counts(self) -> typing.Any:
         put, delete = [], []
-        for (of_kind, name), difference in self.references.items():
+        for (of_kind, name), difference in self._references.items():
             if not difference:
                 continue
             place = f"{of_kind.value}/{name}"
--- a/src/pomeloward/catalog/relationrules.py
+++ b/src/pomeloward/catalog/relationrules.py
@@ -17,17 +17,18 @@
 
 def broken_rules(
     new: state.State,
-    steps: list[draft.Step],
-    references: collections.abc.Mapping[tuple[kind.Kind, str], int],
+    steps: collections.abc.Iterable[draft.Step],
+    references: collections.abc.Iterable[tuple[kind.Kind, str]],
 ) -> Reasons:
     """Yield the reason for every rule that the new state breaks.
 
-    Only what the steps touch is checked, so that the cost is that of the
-    change.
+    Only the steps and the added references are checked, so that the cost is
+    that of the change.
     """
     yield from _missing(new, references)
     services: set[str] = set()
     regions: set[str] = set()
+    has_region = False
     for step in steps:
         if step.new is None:
             yield from _still_used(new, step)
@@ -38,11 +39,12 @@
                 services.add(record.service)
             elif isinstance(record, records.Roster):
                 regions.add(record.region)
+        has_region = has_region or step.of_kind is kind.Kind.REGION
     for service in sorted(services):
         yield from _shares(new, service)
     for region in sorted(regions):
         yield from _roster_count(new, region)
-    if any(step.of_kind is kind.Kind.REGION for step in steps):
+    if has_region:
         yield from _budget_shares(new)
 
 
@@ -58,10 +60,10 @@
 
 def _missing(
     new: state.State,
-    references: collections.abc.Mapping[tuple[kind.Kind, str], int],
+    references: collections.abc.Iterable[tuple[kind.Kind, str]],
 ) -> Reasons:
-    for (of_kind, name), difference in references.items():
-        if difference > 0 and new.get(of_kind, name) is None:
+    for of_kind, name in references:
+        if new.get(of_kind, name) is None:
             yield f"{of_kind.value} {name}: referred to but not known"
 
 
