Test the spreading of the configuration as a state machine

Cause: versions must not go back on any host, a withdrawn key must not be revived, and a starting host must compare before it is ready, under loss, reordering, duplicates, restarts, one-way cuts and a stale platform. Change: seven spreaders of two regions over a faulty network in memory.

--- /dev/null
+++ b/tests/catalog/test_spreader.py
@@ -0,0 +1,176 @@
+"""State machine of the configuration's way through a faulty fleet."""
+
+from hypothesis import stateful
+from hypothesis import strategies
+
+from pomeloward import catalog
+from tests import seeds
+from tests.catalog import samples
+from tests.catalog import world
+
+_ZONES = {
+    **{f"n{number}": ("z1", "north") for number in range(5)},
+    **{f"s{number}": ("z2", "south") for number in range(2)},
+}
+
+
+def _first():
+    contents = [
+        catalog.Region("north", 8, 0.5),
+        catalog.Region("south", 8, 0.5),
+        catalog.Zone("z1", "north"),
+        catalog.Zone("z2", "south"),
+        catalog.Team("crew", 1.0, 1.0),
+    ]
+    contents += [
+        catalog.Host(host, zone, region, "127.0.0.1", 1, 2)
+        for host, (zone, region) in _ZONES.items()
+    ]
+    return catalog.Configuration.of_records(1, contents)
+
+
+_STEPS = strategies.sampled_from([50, 100, 300, 1_000, 6_000])
+_HOST = strategies.sampled_from(sorted(_ZONES))
+
+
+class Spreading(stateful.RuleBasedStateMachine):
+    """Guards promises P4 and P13 and the readiness rule.
+
+    It goes red when a host takes an older configuration, revives a withdrawn
+    key, or becomes ready with less than what a majority of its contacts held
+    when it started.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.world = world.World(_ZONES, _first())
+        self.granted = []
+        self.count = 0
+        self.versions = {}
+        self.withdrawn = {}
+        self.held = dict.fromkeys(_ZONES, {})
+        self.unready = set(_ZONES)
+
+    @stateful.rule()
+    def grant(self):
+        self.count += 1
+        digest = samples.digest(str(self.count))
+        self.world.publish([catalog.Key(digest, "crew")])
+        self.granted.append(digest)
+
+    @stateful.precondition(lambda self: self.granted)
+    @stateful.rule()
+    def withdraw(self):
+        digest = self.granted.pop(0)
+        self.world.publish((), [(catalog.Kind.KEY, digest.hex())])
+        self.withdrawn[digest] = self.world.published[-1].version
+
+    @stateful.rule(host=_HOST, lag=strategies.sampled_from([0, 0, 1, 3, 9]))
+    def read(self, host, lag):
+        self.world.read(host, lag)
+
+    @stateful.rule(data=strategies.data())
+    def deliver_one(self, data):
+        count = len(self.world.letters)
+        if count:
+            index = data.draw(strategies.integers(0, count - 1))
+            self.world.deliver(index, is_kept=data.draw(_RARELY))
+
+    @stateful.rule(count=strategies.integers(1, 60))
+    def deliver_many(self, count):
+        for _ in range(min(count, len(self.world.letters))):
+            index = self.world.rng.randrange(len(self.world.letters))
+            self.world.deliver(index)
+
+    @stateful.rule(count=strategies.integers(1, 20))
+    def lose(self, count):
+        for _ in range(min(count, len(self.world.letters))):
+            self.world.lose(self.world.rng.randrange(len(self.world.letters)))
+
+    @stateful.rule(step_ms=_STEPS)
+    def advance(self, step_ms):
+        self.world.advance(step_ms)
+
+    @stateful.rule()
+    def heartbeats(self):
+        self.world.heartbeats()
+
+    @stateful.rule(source=_HOST, host=_HOST)
+    def cut(self, source, host):
+        self.world.cuts.add((source, host))
+
+    @stateful.rule(host=_HOST)
+    def isolate(self, host):
+        for other in _ZONES:
+            self.world.cuts |= {(host, other), (other, host)}
+
+    @stateful.rule()
+    def heal(self):
+        self.world.cuts.clear()
+
+    @stateful.rule(host=_HOST)
+    def restart(self, host):
+        self.world.start(host)
+        self.versions[host] = 0
+        self.unready.add(host)
+        # What each contact held at this start, as long as it stays up.
+        self.held[host] = {
+            other: (self.world.incarnations[other], node.view.version)
+            for other, node in self.world.nodes.items()
+        }
+
+    @stateful.rule()
+    def spread(self):
+        for reader in ("n1", "s1"):
+            self.world.read_all(reader)
+        self.world.settle(3_000)
+
+    @stateful.invariant()
+    def versions_only_grow(self):
+        for host, node in self.world.nodes.items():
+            assert node.view.version >= self.versions.get(host, 0)
+            self.versions[host] = node.view.version
+
+    @stateful.invariant()
+    def contents_are_those_of_the_version(self):
+        """A withdrawn key is absent at and after its withdrawal."""
+        for node in self.world.nodes.values():
+            for digest, version in self.withdrawn.items():
+                if node.view.version >= version:
+                    assert node.view.team_of_key(digest) is None
+
+    @stateful.invariant()
+    def ready_hosts_have_compared(self):
+        for host in sorted(self.unready):
+            node = self.world.nodes[host]
+            if not node.is_ready:
+                continue
+            self.unready.discard(host)
+            contacts = catalog.contacts_of(node.view, host)
+            kept = [
+                version
+                for other, (incarnation, version) in self.held[host].items()
+                if other in contacts
+                and self.world.incarnations[other] == incarnation
+            ]
+            newer = [each for each in kept if each > node.view.version]
+            assert len(newer) * 2 <= len(contacts)
+
+    def teardown(self):
+        """Everything spreads and every host is ready once links heal."""
+        for reader in ("n1", "s1"):
+            self.world.read_all(reader)
+        self.world.settle(15_000)
+        newest = self.world.published[-1]
+        for host, node in self.world.nodes.items():
+            assert node.view.version == newest.version, host
+            assert node.is_ready, host
+            contents = set(map(repr, node.view.contents()))
+            assert contents == set(map(repr, newest.contents()))
+
+
+_RARELY = strategies.integers(0, 9).map(lambda number: number == 0)
+
+
+def test_configuration_spreads_safely():
+    seeds.run_machine(Spreading, max_examples=30, step_count=40)
