--- a/src/pomeloward/catalog/records.py
+++ b/src/pomeloward/catalog/records.py
@@ -30,12 +30,16 @@
     """The hosts of a region that vote and own, in one published list.
 
     Up to three rosters may be in circulation; a lease needs a majority of
-    voters in each.
+    voters in each. ``zones`` has the zone of each host, in the same order:
+    voters follow from the roster alone, so that hosts with different
+    versions of the configuration agree on them. A published roster never
+    changes.
     """
 
     region: model.RegionId
     number: int
     hosts: tuple[model.HostId, ...]
+    zones: tuple[model.ZoneId, ...] = ()
 
 
 class Region(msgspec.Struct, frozen=True, tag="region", gc=False):
