--- a/src/pomeloward/dispatch/__init__.py
+++ b/src/pomeloward/dispatch/__init__.py
@@ -7,11 +7,10 @@
 from pomeloward.dispatch.failed import Failed as Failed
 from pomeloward.dispatch.head import HOP_BY_HOP as HOP_BY_HOP
 from pomeloward.dispatch.links import Links as Links
-from pomeloward.dispatch.outcome import Outcome as Outcome
 from pomeloward.dispatch.request import Headers as Headers
 from pomeloward.dispatch.request import TargetRequest as TargetRequest
 from pomeloward.dispatch.sender import Sender as Sender
 from pomeloward.dispatch.steps import Admission as Admission
 from pomeloward.dispatch.steps import SlotHold as SlotHold
+from pomeloward.dispatch.steps import SpareSlots as SpareSlots
 from pomeloward.dispatch.steps import Targets as Targets
-from pomeloward.dispatch.ticket import Ticket as Ticket
--- a/src/pomeloward/dispatch/answer.py
+++ b/src/pomeloward/dispatch/answer.py
@@ -6,7 +6,7 @@
 import httpx
 
 from pomeloward import model
-from pomeloward.dispatch import outcome as outcomes
+from pomeloward import service
 from pomeloward.dispatch import request as requests
 from pomeloward.dispatch import steps
 
@@ -38,7 +38,7 @@
         self.headers = headers
         self.target = hold.target
         self.latency_ms = latency_ms
-        self.outcome = outcomes.Outcome.OK
+        self.outcome = service.Outcome.OK
         self.is_unusable = False
         self._response = response
         self._hold = hold
@@ -53,7 +53,7 @@
             async for chunk in stream:
                 yield chunk
         except httpx.HTTPError as error:
-            self._release(outcomes.Outcome.ERROR)
+            self._release(service.Outcome.ERROR)
             raise AnswerCut(type(error).__name__) from error
         self._release(self.outcome)
 
@@ -62,7 +62,7 @@
         try:
             await self._response.aclose()
         finally:
-            self._release(outcomes.Outcome.CANCELLED)
+            self._release(service.Outcome.CANCELLED)
 
     async def discard(self) -> None:
         """End an answer that the caller does not get.
@@ -82,7 +82,7 @@
                 await self._response.aclose()
         self._release(self.outcome)
 
-    def _release(self, outcome: outcomes.Outcome) -> None:
+    def _release(self, outcome: service.Outcome) -> None:
         if not self._is_released:
             self._is_released = True
             self._hold.release(outcome, self.latency_ms)
--- a/src/pomeloward/dispatch/dispatcher.py
+++ b/src/pomeloward/dispatch/dispatcher.py
@@ -5,17 +5,17 @@
 
 from pomeloward import model
 from pomeloward import observe
+from pomeloward import queue
+from pomeloward import service
 from pomeloward.dispatch import answer as answers
 from pomeloward.dispatch import budgets
 from pomeloward.dispatch import failed as faileds
 from pomeloward.dispatch import failedattempt
 from pomeloward.dispatch import hedge
-from pomeloward.dispatch import outcome as outcomes
 from pomeloward.dispatch import request as requests
 from pomeloward.dispatch import retryrule
 from pomeloward.dispatch import sender
 from pomeloward.dispatch import steps
-from pomeloward.dispatch import ticket as tickets
 
 DispatchResult = expression.Result[answers.Answer, faileds.Failed]
 
@@ -30,22 +30,26 @@
     def __init__(
         self,
         admission: steps.Admission,
+        spares: steps.SpareSlots,
         attempts: sender.Sender,
         journal: observe.Journal,
     ) -> None:
         self._admission = admission
+        self._spares = spares
         self._sender = attempts
         self._journal = journal
         self._budgets = budgets.Budgets()
 
     async def send(self, request: requests.TargetRequest) -> DispatchResult:
         """Return the answer's head, or why there is none."""
-        ticket = tickets.Ticket(
+        ticket = queue.Ticket(
             service=request.route.service,
             team=request.team,
-            arrived_at_ms=request.arrived_at_ms,
+            arrived_ms=request.arrived_at_ms,
             deadline_ms=request.deadline_ms,
             is_deferrable=request.route.is_deferrable,
+            weight=request.weight,
+            route=request.route.id,
         )
         self._budgets.retry(request.route.service).on_request()
         self._budgets.hedge(request.route.service).on_request()
@@ -54,7 +58,7 @@
         return self._timed_out(request)
 
     async def _until_answered(
-        self, request: requests.TargetRequest, ticket: tickets.Ticket
+        self, request: requests.TargetRequest, ticket: queue.Ticket
     ) -> DispatchResult:
         budget = self._budgets.retry(ticket.service)
         attempts = 0
@@ -90,7 +94,7 @@
             result = await self._sender.send(request, hold)
         else:
             result = await hedge.send_hedged(
-                self._sender, self._admission, budget, request, hold
+                self._sender, self._spares, budget, request, hold
             )
         if isinstance(result, answers.Answer):
             budget.on_latency(result.latency_ms)
@@ -103,7 +107,7 @@
     ) -> DispatchResult:
         """Pass on the target's own error answer, or else a refusal."""
         answer = last.answer
-        is_shed = last.failure.outcome is outcomes.Outcome.SHED
+        is_shed = last.failure.outcome is service.Outcome.SHED
         if answer is not None and not is_shed and not answer.is_unusable:
             return expression.Ok(answer)
         await last.discard()
--- a/src/pomeloward/dispatch/failure.py
+++ b/src/pomeloward/dispatch/failure.py
@@ -5,7 +5,7 @@
 import httpx
 
 from pomeloward import model
-from pomeloward.dispatch import outcome as outcomes
+from pomeloward import service
 
 # The header and value by which a target says that it did not start a
 # request; part of the targets' published contract.
@@ -24,7 +24,7 @@
     ``proof`` is None when the request may have run on the target.
     """
 
-    outcome: outcomes.Outcome
+    outcome: service.Outcome
     refusal: model.Refusal
     proof: model.NotRunProof | None
 
@@ -40,16 +40,16 @@
     proof = model.NotRunProof(model.NotRunReason.NOT_SENT, name)
     if isinstance(error, PermissionLapsed):
         return Failure(
-            outcomes.Outcome.CANCELLED,
+            service.Outcome.CANCELLED,
             model.Refusal(
                 model.ErrorKind.NO_CAPACITY, str(error), retry_after_ms=1_000
             ),
             proof,
         )
     if isinstance(error, httpx.PoolTimeout):
-        outcome = outcomes.Outcome.CANCELLED
+        outcome = service.Outcome.CANCELLED
     else:
-        outcome = outcomes.Outcome.CONNECT_FAILED
+        outcome = service.Outcome.CONNECT_FAILED
     return Failure(
         outcome,
         model.Refusal(
@@ -65,7 +65,7 @@
     """Classify an answer; None is an answer that the caller gets."""
     if status == 503 and run_state == RUN_STATE_NOT_RUN:
         return Failure(
-            outcomes.Outcome.SHED,
+            service.Outcome.SHED,
             model.Refusal(
                 model.ErrorKind.TARGET_REFUSED,
                 "the target is shedding load",
@@ -78,7 +78,7 @@
         )
     if status >= 500:
         return Failure(
-            outcomes.Outcome.ERROR,
+            service.Outcome.ERROR,
             model.Refusal(
                 model.ErrorKind.TARGET_FAILED,
                 f"the target answered {status}",
@@ -91,7 +91,7 @@
 def _after_sending(error: Exception, name: str) -> Failure:
     if isinstance(error, httpx.TimeoutException):
         return Failure(
-            outcomes.Outcome.TIMEOUT,
+            service.Outcome.TIMEOUT,
             model.Refusal(
                 model.ErrorKind.TARGET_TIMEOUT,
                 f"the target did not answer in time ({name})",
@@ -99,7 +99,7 @@
             None,
         )
     return Failure(
-        outcomes.Outcome.ERROR,
+        service.Outcome.ERROR,
         model.Refusal(
             model.ErrorKind.TARGET_FAILED,
             f"the connection to the target failed ({name})",
--- a/src/pomeloward/dispatch/hedge.py
+++ b/src/pomeloward/dispatch/hedge.py
@@ -2,9 +2,9 @@
 
 import anyio
 
+from pomeloward import service
 from pomeloward.dispatch import answer as answers
 from pomeloward.dispatch import hedgebudget
-from pomeloward.dispatch import outcome as outcomes
 from pomeloward.dispatch import request as requests
 from pomeloward.dispatch import sender as senders
 from pomeloward.dispatch import steps
@@ -59,13 +59,13 @@
     def release_unstarted(self) -> None:
         """Give back slots of attempts that were cancelled unstarted."""
         for hold in self._unstarted:
-            hold.release(outcomes.Outcome.CANCELLED, 0.0)
+            hold.release(service.Outcome.CANCELLED, 0.0)
         self._unstarted.clear()
 
 
 async def send_hedged(
     sender: senders.Sender,
-    admission: steps.Admission,
+    spares: steps.SpareSlots,
     budget: hedgebudget.HedgeBudget,
     request: requests.TargetRequest,
     hold: steps.SlotHold,
@@ -85,7 +85,7 @@
             with anyio.move_on_after(delay_ms / 1_000):
                 await race.first_done.wait()
             if not race.first_done.is_set():
-                spare = _spare(admission, budget, request, hold)
+                spare = _spare(spares, budget, request, hold)
                 if spare is not None:
                     tasks.start_soon(race.run, race.enter(spare))
             await race.done.wait()
@@ -105,7 +105,7 @@
 
 
 def _spare(
-    admission: steps.Admission,
+    spares: steps.SpareSlots,
     budget: hedgebudget.HedgeBudget,
     request: requests.TargetRequest,
     hold: steps.SlotHold,
@@ -113,4 +113,6 @@
     # Two attempts can't both read a body that is still arriving.
     if not request.body.is_ended or not budget.try_take():
         return None
-    return admission.try_acquire(request.route.service, {hold.target})
+    return spares.try_acquire(
+        request.route.service, {hold.target}, request.route.id, request.team
+    )
--- a/src/pomeloward/dispatch/links.py
+++ b/src/pomeloward/dispatch/links.py
@@ -23,10 +23,11 @@
     The pool of httpx looks at each of its connections for each request,
     with a system call for each idle one; a pool for each target keeps that
     number small. The TLS context is shared, since building one takes more
-    than 10 ms.
+    than 10 ms. Connections leave from the host's own ``address``.
     """
 
-    def __init__(self, target_idle_ms: float) -> None:
+    def __init__(self, target_idle_ms: float, address: str) -> None:
+        self._address = address
         self._target_idle_s = target_idle_ms / 1_000
         self._tls = ssl.create_default_context()
         self._links: dict[model.TargetId, Link] = {}
@@ -45,13 +46,16 @@
             target.url,
             httpx.URL(target.url),
             httpx.AsyncHTTPTransport(
-                verify=self._tls, trust_env=False, limits=limits
+                verify=self._tls,
+                trust_env=False,
+                limits=limits,
+                local_address=self._address,
             ),
         )
         self._links[target.id] = made
         return made
 
-    async def keep_only(self, targets: set[model.TargetId]) -> None:
+    def keep_only(self, targets: set[model.TargetId]) -> None:
         """Forget targets that are gone.
 
         Open answers hold their connection by themselves, so that a pool is
--- a/src/pomeloward/dispatch/request.py
+++ b/src/pomeloward/dispatch/request.py
@@ -37,7 +37,8 @@
 
     ``headers`` are free of callers' keys and of connection headers.
     ``deadline_ms`` is the time by which the answer's headers must have
-    come. ``may_send`` is asked immediately before the first byte.
+    come. ``weight`` is the team's in the queue. ``may_send`` is asked
+    immediately before the first byte.
     """
 
     id: model.RequestId
@@ -49,6 +50,7 @@
     body: Body
     arrived_at_ms: float
     deadline_ms: float
+    weight: float = 1.0
     may_send: collections.abc.Callable[[float], bool] = _always
     evidence: evidences.RunEvidence = dataclasses.field(
         default_factory=evidences.RunEvidence
--- a/src/pomeloward/dispatch/sender.py
+++ b/src/pomeloward/dispatch/sender.py
@@ -4,13 +4,13 @@
 import httpx
 
 from pomeloward import model
+from pomeloward import service
 from pomeloward.dispatch import answer as answers
 from pomeloward.dispatch import attempt as attempts
 from pomeloward.dispatch import failedattempt
 from pomeloward.dispatch import failure as failures
 from pomeloward.dispatch import head
 from pomeloward.dispatch import links
-from pomeloward.dispatch import outcome as outcomes
 from pomeloward.dispatch import request as requests
 from pomeloward.dispatch import steps
 
@@ -38,7 +38,7 @@
         """Send a request under a slot; the slot is always given back."""
         target = self._targets.target(hold.target)
         if target is None:
-            hold.release(outcomes.Outcome.CANCELLED, 0.0)
+            hold.release(service.Outcome.CANCELLED, 0.0)
             return failedattempt.FailedAttempt(hold.target, _gone(hold.target))
         attempt = attempts.Attempt(
             request,
@@ -57,7 +57,7 @@
             return failedattempt.FailedAttempt(hold.target, failure)
         except BaseException:
             latency_ms = anyio.current_time() * 1_000 - started_ms
-            hold.release(outcomes.Outcome.CANCELLED, latency_ms)
+            hold.release(service.Outcome.CANCELLED, latency_ms)
             raise
         return self._judge(request, hold, response, started_ms)
 
@@ -87,7 +87,7 @@
 
 def _gone(target: model.TargetId) -> failures.Failure:
     return failures.Failure(
-        outcomes.Outcome.CANCELLED,
+        service.Outcome.CANCELLED,
         model.Refusal(
             model.ErrorKind.NO_CAPACITY,
             f"target {target} left the configuration",
@@ -99,7 +99,7 @@
 
 def _no_length() -> failures.Failure:
     return failures.Failure(
-        outcomes.Outcome.ERROR,
+        service.Outcome.ERROR,
         model.Refusal(
             model.ErrorKind.TARGET_FAILED,
             "the target's answer does not show where it ends",
--- a/src/pomeloward/dispatch/steps.py
+++ b/src/pomeloward/dispatch/steps.py
@@ -1,13 +1,14 @@
 """The steps that dispatch needs from the rest of a host."""
 
+import collections.abc
 import typing
 
 import expression
 
 from pomeloward import catalog
 from pomeloward import model
-from pomeloward.dispatch import outcome as outcomes
-from pomeloward.dispatch import ticket as tickets
+from pomeloward import queue
+from pomeloward import service
 
 
 class SlotHold(typing.Protocol):
@@ -20,7 +21,7 @@
     def is_valid(self, now_ms: float) -> bool:
         """Tell whether a request may still be sent under this slot."""
 
-    def release(self, outcome: outcomes.Outcome, latency_ms: float) -> None:
+    def release(self, outcome: service.Outcome, latency_ms: float) -> None:
         """Give the slot back with the evidence of the attempt."""
 
 
@@ -28,16 +29,22 @@
     """The queue in front of a service."""
 
     async def acquire(
-        self, ticket: tickets.Ticket
-    ) -> expression.Result[SlotHold, model.Refusal]:
+        self, ticket: queue.Ticket
+    ) -> expression.Result[service.SlotHold, model.Refusal]:
         """Wait for a slot until the ticket's deadline."""
 
+
+class SpareSlots(typing.Protocol):
+    """Slots that are free now, for hedged attempts."""
+
     def try_acquire(
         self,
         service: model.ServiceId,
-        avoid: typing.AbstractSet[model.TargetId],
-    ) -> SlotHold | None:
-        """Take a spare slot without waiting, for a hedged attempt."""
+        avoid: collections.abc.Set[model.TargetId],
+        route: model.RouteId,
+        team: model.TeamId,
+    ) -> service.SlotHold | None:
+        """Take a free slot of another target."""
 
 
 class Targets(typing.Protocol):
--- a/src/pomeloward/entry/admin.py
+++ b/src/pomeloward/entry/admin.py
@@ -94,7 +94,10 @@
             exchange,
             200,
             {
-                "addresses": list(answer.addresses),
+                "addresses": [
+                    {"address": row.address, "port": row.port}
+                    for row in answer.addresses
+                ],
                 "lifetime_ms": answer.lifetime_ms,
             },
         )
--- a/src/pomeloward/entry/steps.py
+++ b/src/pomeloward/entry/steps.py
@@ -57,12 +57,24 @@
         """Issue order ids."""
 
 
+class HostAddress(typing.Protocol):
+    """Where callers reach a host."""
+
+    @property
+    def address(self) -> str:
+        """The IP address."""
+
+    @property
+    def port(self) -> int:
+        """The port for callers."""
+
+
 class AddressAnswer(typing.Protocol):
     """The addresses that a caller may use, and for how long."""
 
     @property
-    def addresses(self) -> collections.abc.Sequence[str]:
-        """Addresses as ``host:port``, the best first."""
+    def addresses(self) -> collections.abc.Sequence[HostAddress]:
+        """Addresses, the best first."""
 
     @property
     def lifetime_ms(self) -> float:
--- a/src/pomeloward/entry/websocket.py
+++ b/src/pomeloward/entry/websocket.py
@@ -9,6 +9,8 @@
 
 from pomeloward import dispatch
 from pomeloward import model
+from pomeloward import queue
+from pomeloward import service
 from pomeloward import settings
 from pomeloward.entry import callerrequest
 from pomeloward.entry import exchange as exchanges
@@ -158,11 +160,12 @@
             if taken.is_error():
                 await self._refuse(call, taken.error)
                 return
-        ticket = dispatch.Ticket(
+        ticket = queue.Ticket(
             service=grant.route.service,
             team=grant.team,
-            arrived_at_ms=now_ms,
+            arrived_ms=now_ms,
             deadline_ms=now_ms + grant.route.deadline_ms,
+            route=grant.route.id,
         )
         acquired = await self._admission.acquire(ticket)
         if acquired.is_error():
@@ -196,7 +199,7 @@
         subprotocols: collections.abc.Sequence[str],
     ) -> client.ClientConnection | None:
         """Open the websocket to the target; None when it fails."""
-        outcome = dispatch.Outcome.CANCELLED
+        outcome = service.Outcome.CANCELLED
         started_s = anyio.current_time()
         try:
             target = self._targets.target(hold.target)
@@ -205,13 +208,13 @@
             connection = await self._open(
                 target.url, request, grant, subprotocols
             )
-            outcome = dispatch.Outcome.OK
+            outcome = service.Outcome.OK
             return connection
         except (OSError, websockets.WebSocketException) as error:
             outcome = (
-                dispatch.Outcome.CONNECT_FAILED
+                service.Outcome.CONNECT_FAILED
                 if isinstance(error, OSError)
-                else dispatch.Outcome.ERROR
+                else service.Outcome.ERROR
             )
             return None
         finally:
--- a/src/pomeloward/gateway/gateway.py
+++ b/src/pomeloward/gateway/gateway.py
@@ -1,7 +1,6 @@
 """The composition root of a host."""
 
 import gc
-import pathlib
 import random
 import signal
 
@@ -14,18 +13,19 @@
 from pomeloward import observe
 from pomeloward import settings
 from pomeloward.gateway import condition
-from pomeloward.gateway import fileview
+from pomeloward.gateway import foundation as foundations
 from pomeloward.gateway import localaddresses
-from pomeloward.gateway import localbudget
 from pomeloward.gateway import localorders
-from pomeloward.gateway import localslots
+from pomeloward.gateway import shared
+from pomeloward.gateway import sole
 from pomeloward.gateway import targets
 
 # The default threshold of 700 starts a collection in the middle of about
 # every tenth request; freezing keeps the start's objects out of all of them.
 _GC_THRESHOLDS = (50_000, 20, 100)
+# With the 2.5 s after which standing ends, work under a key ends within the
+# 3 s of a withdrawal that this host could not hear of.
 _STANDING_CHECK_S = 0.25
-_POLL_S = 0.05
 
 
 class Gateway:
@@ -34,49 +34,85 @@
     def __init__(self, host_settings: settings.Settings) -> None:
         self._settings = host_settings
         self._rng = random.Random(host_settings.host_id)  # noqa: S311
-        self._view: catalog.View = fileview.load(
-            pathlib.Path(host_settings.configuration_file)
+        self._foundation: foundations.Foundation = sole.SoleFoundation(
+            host_settings
         )
         self._condition = condition.Condition(
-            host_settings.host, lambda: self._view, lambda now_ms: True
+            host_settings.host, self._foundation
+        )
+        self._shared = shared.Shared(
+            host_settings, self._foundation, self._rng
         )
         self._open_work = entry.OpenWork()
         self._metrics = observe.Metrics()
         self._journal = observe.Journal()
         self._stopping = anyio.Event()
+        self._known = targets.Targets(lambda: self._foundation.view)
+        limits = host_settings.limits
+        self._links = dispatch.Links(
+            limits.target_idle_ms, host_settings.address
+        )
+        self._foundation.on_view(self._on_view)
 
     async def run(self) -> None:
         """Serve until a signal asks for a graceful stop."""
         observe.open_log(self._settings.logs.file)
-        limits = self._settings.limits
-        links = dispatch.Links(limits.target_idle_ms)
-        app = self._application(links)
+        app = self._application()
+        started = anyio.Event()
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._watch_signals)
-                self._condition.state = model.HostState.READY
-                _quiet_collector()
+                await tasks.start(self._shared.run)
+                tasks.start_soon(
+                    self._foundation.run, self._shared.users, started.set
+                )
+                tasks.start_soon(self._become_ready, started)
+                tasks.start_soon(self._watch_standing)
                 tasks.start_soon(self._serve, app, tasks.cancel_scope)
         finally:
             with anyio.CancelScope(shield=True):
-                await links.aclose()
+                await self._links.aclose()
 
     def stop(self) -> None:
         """Begin the graceful stop."""
         self._stopping.set()
 
-    def configuration_changed(self, view: catalog.View) -> None:
-        """Put a newer configuration in force and end withdrawn work."""
-        self._view = view
+    def replace(self, view: catalog.View) -> None:
+        """Put another configuration in force on a host by itself."""
+        if isinstance(self._foundation, sole.SoleFoundation):
+            self._foundation.replace(view)
+
+    def _on_view(self, view: catalog.View) -> None:
         ended = self._open_work.end_withdrawn(view)
         if ended:
-            self._journal.record(
-                observe.Decision(
-                    at_ms=anyio.current_time() * 1_000,
-                    kind="keys_withdrawn",
-                    reason=f"ended {ended} open requests",
-                )
-            )
+            self._decided("keys_withdrawn", f"ended {ended} open requests")
+        self._links.keep_only(self._known.ids())
+
+    async def _become_ready(self, started: anyio.Event) -> None:
+        await started.wait()
+        if not self._stopping.is_set():
+            self._enter(model.HostState.READY)
+        _quiet_collector()
+
+    async def _watch_standing(self) -> None:
+        """End work under keys while this host could miss a withdrawal."""
+        while True:
+            await anyio.sleep(_STANDING_CHECK_S)
+            if self._foundation.has_standing(shared.now_ms()):
+                continue
+            ended = self._open_work.end_keyed(model.ErrorKind.HOST_ISOLATED)
+            if ended:
+                self._decided("standing_lost", f"ended {ended} open requests")
+
+    def _enter(self, state: model.HostState) -> None:
+        self._condition.state = state
+        self._foundation.set_state(state)
+        self._decided("state", state.value)
+
+    def _decided(self, kind: str, reason: str) -> None:
+        self._journal.record(
+            observe.Decision(at_ms=shared.now_ms(), kind=kind, reason=reason)
+        )
 
     async def _serve(
         self, app: entry.Application, scope: anyio.CancelScope
@@ -89,19 +125,16 @@
         await entry.serve(app, self._settings, self._wait_for_stop)
         scope.cancel()
 
-    def _application(self, links: dispatch.Links) -> entry.Application:
+    def _application(self) -> entry.Application:
         limits = self._settings.limits
-        view = self._condition
         logs = self._settings.logs
         log = observe.Log(logs.request_ratio, logs.refusals_per_s, self._rng)
         recorder = entry.Recorder(self._metrics, self._journal, log)
         gatekeeper = entry.Gatekeeper(self._condition, limits)
-        budget = localbudget.LocalBudget(lambda: view.view)
         orders = localorders.LocalOrders()
-        admission = localslots.LocalSlots(lambda: view.view)
-        known = targets.Targets(lambda: view.view)
+        parts = self._shared
         sender = dispatch.Sender(
-            known, links, limits.connect_ms, limits.stream_idle_ms
+            self._known, self._links, limits.connect_ms, limits.stream_idle_ms
         )
         self._metrics.gauge(
             "pomeloward_open_requests", lambda: len(self._open_work)
@@ -111,17 +144,19 @@
             entry.Handler(
                 gatekeeper,
                 orders,
-                budget,
-                dispatch.Dispatcher(admission, sender, self._journal),
+                parts.budget,
+                dispatch.Dispatcher(
+                    parts.admission, parts.slots, sender, self._journal
+                ),
                 self._open_work,
                 recorder,
                 limits,
             ),
             entry.WebsocketHandler(
                 gatekeeper,
-                budget,
-                admission,
-                known,
+                parts.budget,
+                parts.admission,
+                self._known,
                 self._open_work,
                 recorder,
                 limits,
@@ -145,9 +180,14 @@
                 self.stop()
 
     async def _wait_for_stop(self) -> None:
-        """Drain: return only when no work is open any more."""
+        """Drain: return only when no work is open any more.
+
+        Callers may use this host's address until their answer lapses, so
+        that the host goes on accepting for that long.
+        """
         await self._stopping.wait()
-        self._condition.state = model.HostState.DRAINING
+        self._enter(model.HostState.DRAINING)
+        await self._foundation.hand_over()
         drain = self._settings.drain
         await anyio.sleep(drain.accept_ms / 1_000)
         limit_s = drain.limit_ms / 1_000 if drain.limit_ms else None
--- /dev/null
+++ b/src/pomeloward/gateway/shared.py
@@ -0,0 +1,91 @@
+"""The parts that hosts share: rates, slots and the queue in front."""
+
+import random
+import time
+
+import anyio
+import anyio.abc
+
+from pomeloward import budget
+from pomeloward import catalog
+from pomeloward import model
+from pomeloward import ownership
+from pomeloward import queue
+from pomeloward import service
+from pomeloward import settings
+from pomeloward.gateway import foundation as foundations
+
+
+class Shared:
+    """Builds rates and slots upon a foundation and runs them."""
+
+    def __init__(
+        self,
+        host_settings: settings.Settings,
+        foundation: foundations.Foundation,
+        rng: random.Random,
+    ) -> None:
+        self._foundation = foundation
+        host = host_settings.host
+        region = model.RegionId(host_settings.region)
+        # Wall time only orders the starts of one host.
+        self.incarnation = model.Incarnation(time.time_ns() // 1_000_000)
+        peers = foundation.peers
+        owners = foundation.owners
+        places = budget.Directory(
+            host,
+            lambda: foundation.view,
+            owners,
+            ownership.portion_partition,
+        )
+        self._lending = budget.LenderShell(peers, owners, places)
+        self.budget = budget.BudgetClient(
+            host, peers, self._lending, places, rng
+        )
+        self._controllers = service.Controllers(
+            host, region, peers, owners, ownership.partition_of, now_ms, rng
+        )
+        self.slots = service.ServiceClient(
+            host,
+            region,
+            self.incarnation,
+            peers,
+            owners,
+            ownership.partition_of,
+            now_ms,
+            rng,
+        )
+        self.slots.set_local(self._controllers.handle_report)
+        self._controllers.on_local_nudge = lambda nudge: peers.tell(
+            host, nudge
+        )
+        self.admission = queue.Admission(self.slots, now_ms)
+        self.users: list[ownership.PartitionUser] = [
+            self._lending,
+            self._controllers,
+        ]
+        foundation.on_view(self._configure)
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run the loops of all parts until cancelled."""
+        self._configure(self._foundation.view)
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(self.budget.run)
+            tasks.start_soon(self._controllers.run)
+            tasks.start_soon(self.slots.run)
+            task_status.started()
+
+    def _configure(self, view: catalog.View) -> None:
+        now = now_ms()
+        self._lending.on_configuration(now)
+        self._controllers.configure(view, now)
+        self.slots.configure(view)
+
+
+def now_ms() -> float:
+    """Return the time of the runtime's clock."""
+    return anyio.current_time() * 1_000
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -12,7 +12,7 @@
 
 from pomeloward import gateway
 from pomeloward import settings
-from pomeloward.gateway import fileview
+from pomeloward.gateway import sole
 
 KEY = "secret-key-of-team-one"
 OTHER_KEY = "secret-key-of-team-two"
@@ -109,6 +109,17 @@
 
 def records(targets, keys=(KEY, OTHER_KEY), **route):
     listed = [
+        {"type": "region", "id": "r", "partitions": 4},
+        {"type": "zone", "id": "z", "region": "r"},
+        {
+            "type": "host",
+            "id": "h1",
+            "zone": "z",
+            "region": "r",
+            "address": "127.0.0.1",
+            "caller_port": 8100,
+            "peer_port": 8200,
+        },
         {"type": "service", "id": "s", "slots_per_target": 4},
         {"type": "route", "id": "read", "service": "s", "path_prefix": "/"}
         | {"methods": ["GET", "PUT", "POST"]}
@@ -176,7 +187,7 @@
 
     def configure(self, listed):
         self.file.write_text(json.dumps(listed))
-        self.gateway.configuration_changed(fileview.load(self.file))
+        self.gateway.replace(sole.load_configuration(self.file))
 
 
 @contextlib.asynccontextmanager
@@ -212,6 +223,8 @@
 
         tasks.start_soon(run)
         await _reachable(port)
+        # The budget of a new owner starts empty.
+        await anyio.sleep(0.1)
         yield host, targets
         host.gateway.stop()
         with anyio.fail_after(10):
