Build a host on the shared rates, slots and queue

Cause: the local stand-ins for rates and slots were other code than a fleet runs, and the packed view cost 0.5 ms for each iteration over hosts. Change: a foundation gives peers, ownership and view; a host by itself owns every partition and runs the same budget, service and queue as a fleet. A cached view remembers look-ups of its version.

--- a/src/pomeloward/gateway/sole.py
+++ b/src/pomeloward/gateway/sole.py
@@ -11,6 +11,7 @@
 from pomeloward import ownership
 from pomeloward import peer
 from pomeloward import settings
+from pomeloward.gateway import cachedview
 from pomeloward.gateway import foundation
 from pomeloward.gateway import nopeers
 from pomeloward.gateway import soleownership
@@ -39,8 +40,8 @@
 
     def __init__(self, host_settings: settings.Settings) -> None:
         self.peers: peer.Peers = nopeers.NoPeers(host_settings.host)
-        self.view: catalog.View = load_configuration(
-            pathlib.Path(host_settings.configuration_file)
+        self.view: catalog.View = cachedview.CachedView(
+            load_configuration(pathlib.Path(host_settings.configuration_file))
         )
         self._region = model.RegionId(host_settings.region)
         self._sole = soleownership.SoleOwnership(host_settings.host)
@@ -57,9 +58,9 @@
 
     def replace(self, view: catalog.View) -> None:
         """Put another configuration in force."""
-        self.view = view
+        self.view = cachedview.CachedView(view)
         for callback in self._callbacks:
-            callback(view)
+            callback(self.view)
 
     async def run(
         self,
--- a/src/pomeloward/gateway/soleownership.py
+++ b/src/pomeloward/gateway/soleownership.py
@@ -7,6 +7,9 @@
 from pomeloward import ownership
 
 _EPOCH = model.Epoch(1)
+# Longer than every loan. The loans of an earlier process of this host have
+# ended with it, so that its partitions count as acquired this long ago.
+_LOANS_MS = 3_000.0
 
 
 class SoleOwnership:
@@ -47,4 +50,4 @@
         for number in range(region.partitions):
             partition = ownership.make_partition(region.id, number)
             for user in users:
-                user.on_acquired(partition, _EPOCH, None, now_ms)
+                user.on_acquired(partition, _EPOCH, None, now_ms - _LOANS_MS)
--- a/tests/entry/test_keys.py
+++ b/tests/entry/test_keys.py
@@ -36,30 +36,33 @@
 ]
 
 
-@pytest.mark.parametrize("carrier", _CARRIERS)
 @pytest.mark.parametrize("path", ["/read", "/open/read"])
-async def test_key_reaches_no_target_and_no_record(tmp_path, carrier, path):
+async def test_key_reaches_no_target_and_no_record(tmp_path, path):
     """Guards against a key in a target's request or in any record."""
     messages = []
+    records = []
     eliot.add_destinations(messages.append)
     try:
         async with (
             harness.running(tmp_path, harness.answer()) as (host, targets),
             httpx.AsyncClient() as caller,
         ):
-            response = await caller.get(host.url + path, **carrier)
-            assert response.status_code == 200
-            request_id = response.headers["pomeloward-request-id"]
             own = host.url + "/.pomeloward/"
-            records = [
-                (await caller.get(own + name)).text
-                for name in ("metrics", "status", f"explain/{request_id}")
-            ]
+            for carrier in _CARRIERS:
+                response = await caller.get(host.url + path, **carrier)
+                assert response.status_code == 200, carrier
+                request_id = response.headers["pomeloward-request-id"]
+                explained = await caller.get(f"{own}explain/{request_id}")
+                assert "answered" in explained.text
+                records.append(explained.text)
+            for name in ("metrics", "status"):
+                records.append((await caller.get(own + name)).text)
     finally:
         eliot.remove_destination(messages.append)
-    (seen,) = targets[0].seen
-    assert harness.KEY.encode() not in seen.head
-    assert "answered" in records[2]
+    assert len(targets[0].seen) == len(_CARRIERS)
+    for seen in targets[0].seen:
+        assert harness.KEY.encode() not in seen.head
+    assert messages
     assert harness.KEY not in "".join(records) + json.dumps(messages)
 
 
@@ -96,7 +99,7 @@
 
     headers = {"X-Api-Key": harness.KEY}
     async with (
-        harness.running(tmp_path, respond) as (host, targets),
+        harness.running(tmp_path, respond, respond) as (host, targets),
         httpx.AsyncClient() as caller,
         anyio.create_task_group() as tasks,
     ):
@@ -110,7 +113,8 @@
         async with caller.stream(
             "GET", host.url + "/read", headers=headers
         ) as download:
-            await targets[0].wait_seen(2)
+            for target in targets:
+                await target.wait_seen(1)
             host.configure(harness.records(targets, keys=(harness.OTHER_KEY,)))
             with (
                 anyio.fail_after(3),
