--- a/src/pomeloward/dispatch/answer.py
+++ b/src/pomeloward/dispatch/answer.py
@@ -70,6 +70,8 @@
         A short body is read to its end, so that its connection stays open
         for the next request.
         """
+        if self._is_released:
+            return
         length = self._response.headers.get("content-length", "")
         with anyio.move_on_after(_DISCARD_S, shield=True):
             try:
--- a/src/pomeloward/dispatch/attempt.py
+++ b/src/pomeloward/dispatch/attempt.py
@@ -40,7 +40,7 @@
         self.hold = hold
         self.is_sent = False
         self._request = request
-        self._link = link
+        self.link = link
         self._connect_s = connect_ms / 1_000
         self._idle_s = stream_idle_ms / 1_000
 
@@ -65,12 +65,12 @@
         }
         outgoing = httpx.Request(
             request.method,
-            self._link.base.copy_with(raw_path=request.target_path),
+            self.link.base.copy_with(raw_path=request.target_path),
             headers=headers,
             stream=_BodyStream(request.body),
             extensions={"timeout": timeout, "trace": self._trace},
         )
-        return await self._link.transport.handle_async_request(outgoing)
+        return await self.link.transport.handle_async_request(outgoing)
 
     async def _trace(self, event: str, info: dict[str, typing.Any]) -> None:
         """Check the permissions at the last moment before the first byte."""
--- a/src/pomeloward/dispatch/dispatcher.py
+++ b/src/pomeloward/dispatch/dispatcher.py
@@ -19,6 +19,9 @@
 
 DispatchResult = expression.Result[answers.Answer, faileds.Failed]
 
+# Longest wait for a slot after an attempt that may have run.
+_RETRY_WAIT_MS = 500.0
+
 
 class Dispatcher:
     """The step from an admitted request to the head of its answer.
@@ -62,18 +65,22 @@
     ) -> DispatchResult:
         budget = self._budgets.retry(ticket.service)
         attempts = 0
+        last: failedattempt.FailedAttempt | None = None
         while True:
-            acquired = await self._admission.acquire(ticket)
+            acquired = await self._acquire(ticket, last)
+            if acquired.is_error() and last is not None:
+                return await self._give_up(request, last)
             if acquired.is_error():
                 return self._refused(request, acquired.error)
             attempts += 1
+            if last is not None:
+                await last.discard()
             result = await self._attempt(request, acquired.ok)
             if isinstance(result, answers.Answer):
                 return expression.Ok(result)
             now_ms = anyio.current_time() * 1_000
             failure = result.failure
             self._note(request, result, now_ms)
-            ticket.avoid.add(result.target)
             if not retryrule.should_retry(
                 failure,
                 request.route.is_idempotent,
@@ -84,7 +91,42 @@
                 request.deadline_ms,
             ):
                 return await self._give_up(request, result)
-            await result.discard()
+            last = result
+            if failure.proof is not None:
+                await result.discard()
+            self._return_to_queue(ticket, result, now_ms)
+
+    async def _acquire(
+        self,
+        ticket: queue.Ticket,
+        last: failedattempt.FailedAttempt | None,
+    ) -> expression.Result[service.SlotHold, model.Refusal]:
+        """Wait for a slot, with an error answer in hand or not."""
+        try:
+            return await self._admission.acquire(ticket)
+        except BaseException:
+            if last is not None:
+                await last.discard()
+            raise
+
+    def _return_to_queue(
+        self,
+        ticket: queue.Ticket,
+        failed: failedattempt.FailedAttempt,
+        now_ms: float,
+    ) -> None:
+        """Let a ticket wait for another target.
+
+        After the last target they all count again. A request that may have
+        run waits only shortly, since its caller has an answer to get.
+        """
+        ticket.avoid.add(failed.target)
+        if len(ticket.avoid) >= self._sender.target_count(ticket.service):
+            ticket.avoid.clear()
+        if failed.failure.proof is None:
+            ticket.deadline_ms = min(
+                ticket.deadline_ms, now_ms + _RETRY_WAIT_MS
+            )
 
     async def _attempt(
         self, request: requests.TargetRequest, hold: steps.SlotHold
--- a/src/pomeloward/dispatch/sender.py
+++ b/src/pomeloward/dispatch/sender.py
@@ -1,5 +1,7 @@
 """Sends one attempt and classifies how it ended."""
 
+import dataclasses
+
 import anyio
 import httpx
 
@@ -7,6 +9,7 @@
 from pomeloward import service
 from pomeloward.dispatch import answer as answers
 from pomeloward.dispatch import attempt as attempts
+from pomeloward.dispatch import cancellation
 from pomeloward.dispatch import failedattempt
 from pomeloward.dispatch import failure as failures
 from pomeloward.dispatch import head
@@ -32,6 +35,10 @@
         self._connect_ms = connect_ms
         self._stream_idle_ms = stream_idle_ms
 
+    def target_count(self, service_id: model.ServiceId) -> int:
+        """Return how many targets a service has."""
+        return self._targets.count(service_id)
+
     async def send(
         self, request: requests.TargetRequest, hold: steps.SlotHold
     ) -> AttemptResult:
@@ -47,6 +54,12 @@
             self._connect_ms,
             self._stream_idle_ms,
         )
+        return await self._run(request, attempt)
+
+    async def _run(
+        self, request: requests.TargetRequest, attempt: attempts.Attempt
+    ) -> AttemptResult:
+        hold = attempt.hold
         started_ms = anyio.current_time() * 1_000
         try:
             response = await attempt.run()
@@ -54,13 +67,28 @@
             failure = failures.classify_error(error, attempt.is_sent)
             latency_ms = anyio.current_time() * 1_000 - started_ms
             hold.release(failure.outcome, latency_ms)
+            proof = await self._cancel(request, attempt)
+            if proof is not None:
+                failure = dataclasses.replace(failure, proof=proof)
             return failedattempt.FailedAttempt(hold.target, failure)
         except BaseException:
             latency_ms = anyio.current_time() * 1_000 - started_ms
             hold.release(service.Outcome.CANCELLED, latency_ms)
+            await self._cancel(request, attempt)
             raise
         return self._judge(request, hold, response, started_ms)
 
+    async def _cancel(
+        self, request: requests.TargetRequest, attempt: attempts.Attempt
+    ) -> model.NotRunProof | None:
+        """Cancel a sent request whose run matters, and note a proof."""
+        if not attempt.is_sent or request.route.is_idempotent:
+            return None
+        proof = await cancellation.cancel(attempt.link, request.id)
+        if proof is not None:
+            request.evidence.prove_not_run(proof)
+        return proof
+
     def _judge(
         self,
         request: requests.TargetRequest,
--- a/src/pomeloward/dispatch/steps.py
+++ b/src/pomeloward/dispatch/steps.py
@@ -53,5 +53,8 @@
     def target(self, target: model.TargetId) -> catalog.Target | None:
         """Return a target's record, None when it is gone."""
 
+    def count(self, service: model.ServiceId) -> int:
+        """Return the number of targets of a service."""
+
     def connections(self, target: catalog.Target) -> int:
         """Return how many connections this host may open to a target."""
--- a/src/pomeloward/entry/application.py
+++ b/src/pomeloward/entry/application.py
@@ -19,6 +19,8 @@
 
 # 64 random bits: an id is also what its explanation is asked for by.
 _REQUEST_ID_BYTES = 8
+# How long a draining host waits for an HTTP/2 connection without streams.
+_PATIENCE_MS = 5_000.0
 Scope = collections.abc.MutableMapping[str, typing.Any]
 
 
@@ -40,6 +42,7 @@
         self._own = own
         self._recorder = recorder
         self._limits = limits
+        self._draining_since_ms: float | None = None
 
     async def __call__(
         self,
@@ -67,8 +70,6 @@
         exchange = exchanges.Exchange(
             request_id, scope, receive, send, is_draining
         )
-        if is_draining:
-            await serverconnection.announce_end(send)
         try:
             inspected = inspection.inspect(
                 scope, request_id, self._limits, self._is_key
@@ -86,6 +87,15 @@
             await self._failed(exchange, error)
         finally:
             self._recorder.ended(request_id, exchange.status, now_ms)
+        if self._host.state is model.HostState.DRAINING:
+            await self._announce_end(send)
+
+    async def _announce_end(self, send: exchanges.Send) -> None:
+        now_ms = anyio.current_time() * 1_000
+        if self._draining_since_ms is None:
+            self._draining_since_ms = now_ms
+        is_patient = now_ms - self._draining_since_ms < _PATIENCE_MS
+        await serverconnection.announce_end(send, is_patient)
 
     async def _websocket(
         self,
--- a/src/pomeloward/entry/serverconnection.py
+++ b/src/pomeloward/entry/serverconnection.py
@@ -40,11 +40,18 @@
         await protocol.has_data.set()
 
 
-async def announce_end(send: typing.Any) -> None:
-    """Tell an HTTP/2 caller to open no more streams here."""
+async def announce_end(send: typing.Any, is_patient: bool) -> None:
+    """Tell an HTTP/2 caller to open no more streams here.
+
+    Some clients, those on the h2 library among them, end their open streams
+    at the announcement. A patient host therefore waits until the connection
+    has no open stream.
+    """
     _, protocol = _h2(send)
     if protocol is None or getattr(protocol, "is_end_announced", False):
         return
+    if is_patient and protocol.streams:
+        return
     protocol.is_end_announced = True
     frame = hyperframe.frame.GoAwayFrame(
         stream_id=0, last_stream_id=_LARGEST_STREAM_ID, error_code=0
--- a/src/pomeloward/gateway/targets.py
+++ b/src/pomeloward/gateway/targets.py
@@ -20,6 +20,10 @@
         """Return a target's record, None when it is gone."""
         return self._index().get(target)
 
+    def count(self, service: model.ServiceId) -> int:
+        """Return the number of targets of a service."""
+        return len(self._view().targets(service))
+
     def connections(self, target: catalog.Target) -> int:
         """Return this host's share of a target's connections."""
         view = self._view()
