--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -34,11 +34,17 @@
         host_count: int,
         seed: int,
         folder: pathlib.Path,
+        is_sole: bool = False,
     ) -> None:
+        """Prepare a fleet; ``is_sole`` gives hosts that work alone.
+
+        Such hosts read a fixed configuration from a file and share nothing.
+        """
         self.plan = plan
         self.host_count = host_count
         self.seed = seed
         self.folder = folder
+        self.is_sole = is_sole
         self.records = deployment.records(plan, host_count)
         self.version = 1
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
@@ -190,7 +196,7 @@
                 f'address = "{deployment.host_address(index)}"',
                 f"caller_port = {deployment.CALLER_PORT}",
                 f"peer_port = {deployment.PEER_PORT}",
-                f'platform_url = "http://{PLATFORM_BIND}"',
+                self._source_setting(),
                 f'fleet_secret = "{_SECRET}"',
                 "[drain]",
                 "accept_ms = 1000",
@@ -201,6 +207,13 @@
             ]
         )
 
+    def _source_setting(self) -> str:
+        if not self.is_sole:
+            return f'platform_url = "http://{PLATFORM_BIND}"'
+        path = self.folder / "records.json"
+        path.write_bytes(msgspec.json.encode(self.records))
+        return f'configuration_file = "{path}"'
+
     def _spawn(self, name: str, module: str, *arguments: str) -> None:
         output = (self.folder / f"{name}.out").open("wb")
         self._processes[name] = subprocess.Popen(  # noqa: S603
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -155,7 +155,8 @@
 
     def _keep(self, answer: dict[str, typing.Any]) -> None:
         self._addresses = [
-            f"http://{address}" for address in answer["addresses"]
+            f"http://{row['address']}:{row['port']}"
+            for row in answer["addresses"]
         ]
         lifetime_s = answer["lifetime_ms"] / 1000
         self._addresses_until_s = time.monotonic() + lifetime_s
--- /dev/null
+++ b/tests/path/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the whole path with separate processes."""
