--- a/src/pomeloward/ownership/__init__.py
+++ b/src/pomeloward/ownership/__init__.py
@@ -9,3 +9,4 @@
 from pomeloward.ownership.partitions import PORTIONS as PORTIONS
 from pomeloward.ownership.partitions import split_partition as split_partition
 from pomeloward.ownership.partitionuser import PartitionUser as PartitionUser
+from pomeloward.ownership.shell import LeasedOwnership as LeasedOwnership
--- a/src/pomeloward/ownership/holder.py
+++ b/src/pomeloward/ownership/holder.py
@@ -97,7 +97,9 @@
                 found.grant(voter, vote.value, asked_ms)
                 happened += self._conclude(found, now_ms)
             else:
-                self._refused(bid.number, vote)
+                self._note_refusal(bid.number, vote)
+                if found.refuse(voter) and not found.is_owner:
+                    happened.append(self._fail(found))
         if any(
             vote.verdict is messages.Verdict.STALE_VERSION
             for vote in answer.votes
@@ -114,7 +116,7 @@
         previous = found.proven_previous(now_ms)
         return [events.Acquired(found.number, found.epoch, previous)]
 
-    def _refused(self, number: int, vote: messages.Vote) -> None:
+    def _note_refusal(self, number: int, vote: messages.Vote) -> None:
         if vote.verdict is messages.Verdict.LOW_EPOCH:
             self._highest[number] = max(self._highest[number], vote.value)
         else:
@@ -143,9 +145,9 @@
             self._waits_ms[found.number],
         )
 
-    def surrender(self, number: int) -> tenure.Tenure | None:
+    def surrender(self, number: int) -> tenure.Tenure:
         """Give up a partition at once, before its votes are released."""
-        return self._tenures.pop(number, None)
+        return self._tenures.pop(number)
 
     def configure(
         self,
--- a/src/pomeloward/ownership/tenure.py
+++ b/src/pomeloward/ownership/tenure.py
@@ -32,6 +32,7 @@
         self._grace_until_ms = 0.0
         self._ends_ms: dict[model.HostId, float] = {}
         self._previous: dict[model.HostId, int] = {}
+        self._refused: set[model.HostId] = set()
 
     def voters(self) -> set[model.HostId]:
         """Return the voters to ask, in all rosters."""
@@ -61,6 +62,18 @@
         self._previous[voter] = previous
         self._recount()
 
+    def refuse(self, voter: model.HostId) -> bool:
+        """Count a refusal; returns True when no majority is left to win.
+
+        A candidacy without hope is given up at once, since the votes it
+        has are missing to others.
+        """
+        self._refused.add(voter)
+        return any(
+            2 * len(self._refused.intersection(voters)) >= len(voters)
+            for voters in self._electorate.values()
+        )
+
     def configure(
         self, electorate: territory.Electorate, now_ms: float
     ) -> None:
--- a/src/pomeloward/ownership/voter.py
+++ b/src/pomeloward/ownership/voter.py
@@ -128,14 +128,10 @@
                 record.reserved_until_ms = now_ms + lease.RESERVE_MS
 
     def free_at_ms(self, number: int) -> float:
-        """Return when, by this voter's memory, a partition becomes free.
-
-        A voter without memory of it waits until a living owner has had the
-        time to renew here.
-        """
+        """Return when, by this voter's memory, a partition becomes free."""
         record = self._records.get(number)
         if record is None:
-            return self._silent_until_ms() + 1.5 * lease.RENEW_MS
+            return self._silent_until_ms()
         if record.is_released:
             return record.reserved_until_ms
         return record.until_ms
