--- a/src/pomeloward/budget/portion.py
+++ b/src/pomeloward/budget/portion.py
@@ -32,7 +32,8 @@
 
     Regions divide it by ``budget_share_ratio``. A region whose part of the
     burst is under one token gives its part to a region chosen by hash, so
-    that no part is too small to admit a request. Within a region the part is
+    that no part is too small to admit a request, unless all of them together
+    are. Within a region the part is
     divided into as many portions as it has whole tokens of burst, from 1 to
     ``MAX_PORTIONS``.
 
@@ -74,13 +75,13 @@
 def _ratios(
     view: catalog.View, team: catalog.Team
 ) -> dict[model.RegionId, float]:
-    shares = {
+    # Shares are not scaled up to 1: moving a share is a cut in one region and
+    # a later raise in another, and the cut must not raise the others at once.
+    ratios = {
         region.id: region.budget_share_ratio
         for region in view.regions()
         if region.budget_share_ratio > 0
     }
-    total = sum(shares.values())
-    ratios = {region: share / total for region, share in shares.items()}
     large = {
         region: ratio
         for region, ratio in ratios.items()
@@ -88,11 +89,11 @@
     }
     if len(large) == len(ratios):
         return ratios
+    rest = sum(ratios[region] for region in ratios if region not in large)
     home = max(
         large or ratios,
         key=lambda region: xxhash.xxh64_intdigest(
             f"{team.id}/{region}".encode()
         ),
     )
-    rest = 1.0 - sum(large.values())
     return large | {home: large.get(home, 0.0) + rest}
