--- a/src/pomeloward/orders/ledger.py
+++ b/src/pomeloward/orders/ledger.py
@@ -38,6 +38,10 @@
         self._horizon_ms = horizon_ms
         self._keep_ms = horizon.retention_ms(horizon_ms)
         self._complete_from_ms = now_ms + horizon.memory_ms(horizon_ms)
+        # Until then a permit of the owner before may be in use.
+        self._permits_end_ms = model.outstanding_until_ms(
+            now_ms, horizon.PERMIT_MS
+        )
         self._clocks: dict[model.Epoch, float] = {epoch: 0.0}
         self._entries = entries.Entries(self._keep_ms)
         self._is_ready = False
@@ -183,6 +187,8 @@
         if self._entries.is_full(order.team):
             verdict = _VERDICT.FULL if may_run else _VERDICT.UNAVAILABLE
             return messages.ClaimAnswer(verdict=verdict)
+        if not may_run and now_ms < self._permits_end_ms:
+            return messages.ClaimAnswer(verdict=_VERDICT.UNAVAILABLE)
         if not may_run:
             # The caller is told `unknown`, so it must stay unknown when the
             # history has become complete.
