--- a/src/pomeloward/service/client.py
+++ b/src/pomeloward/service/client.py
@@ -14,7 +14,6 @@
 from pomeloward.service import demand
 from pomeloward.service import hostslots
 from pomeloward.service import messages
-from pomeloward.service import outcome as outcome_
 from pomeloward.service import owners as owners_
 from pomeloward.service import slothold
 from pomeloward.service import tuning as tuning_
@@ -113,7 +112,7 @@
 
     def usual_run_ms(self, service: model.ServiceId) -> float:
         """Return how long a request of a service usually holds its slot."""
-        return self._channel(service).slots.usual_run_ms
+        return self._channel(service).slots.runs.usual_ms
 
     async def run(self) -> None:
         """Exchange reports with controllers until cancelled."""
@@ -196,12 +195,8 @@
     ) -> None:
         if self._probe is None or await self._probe(target):
             return
-        self._channels[service].slots.evidence.finish(
-            target,
-            _NO_ROUTE,
-            outcome_.Outcome.CONNECT_FAILED,
-            0.0,
-        )
+        slots = self._channels[service].slots
+        slots.unreachable(target, self._clock())
 
     def _on_nudge(
         self, host: model.HostId, message: peer.Message, now_ms: float
--- a/src/pomeloward/service/floor.py
+++ b/src/pomeloward/service/floor.py
@@ -56,6 +56,15 @@
     room allows it; the rest is left for ejections.
     """
     room = int(healthy(records) - floor_ratio * capacity(records))
-    largest = max((record.slots for record in records), default=0)
-    budget = max(largest, room // 4)
+    budget = _budget(records, room)
     return budget if budget <= room else 0
+
+
+def most_avoid_slots(records: Records, floor_ratio: float) -> int:
+    """Return the most slots that a predecessor may have let hosts avoid."""
+    return _budget(records, int((1 - floor_ratio) * capacity(records)))
+
+
+def _budget(records: Records, room: int) -> int:
+    largest = max((record.slots for record in records), default=0)
+    return max(largest, room // 4)
--- a/src/pomeloward/service/hostslots.py
+++ b/src/pomeloward/service/hostslots.py
@@ -8,16 +8,11 @@
 from pomeloward.service import evidencebook
 from pomeloward.service import messages
 from pomeloward.service import outcome as outcome_
+from pomeloward.service import runs
 from pomeloward.service import targetset
 from pomeloward.service import targetstate
 from pomeloward.service import tuning as tuning_
 
-# Weight of one request in the usual run time; covers about 20 requests.
-_RUN_WEIGHT = 0.05
-
-# Target, route, team and start of a request that holds a slot.
-_Run = tuple[model.TargetId, model.RouteId, model.TeamId, float]
-
 
 class HostSlots:
     """What a host may use of a service, by its controller's last answer.
@@ -36,7 +31,7 @@
         self.service = service
         self.evidence = evidencebook.EvidenceBook()
         self.waiting: dict[model.TeamId, int] = {}
-        self.usual_run_ms = 0.0
+        self.runs = runs.Runs()
         self._incarnation = incarnation
         self._tuning = tuning
         self._rng = rng
@@ -48,9 +43,6 @@
         self._digest = 0
         self._index: dict[model.TargetId, int] = {}
         self._granted: dict[model.TargetId, int] = {}
-        self._running: dict[int, _Run] = {}
-        self._in_use: dict[model.TargetId, int] = {}
-        self._next_run = 0
         self._slots: dict[model.TargetId, int] = {}
         self._stopped: frozenset[model.TargetId] = frozenset()
         self._shunned: frozenset[model.TargetId] = frozenset()
@@ -93,9 +85,9 @@
             return None
         out = self._stopped | self.avoided(now_ms)
         idle = [
-            (count - self._in_use.get(target, 0), target)
+            (count - self.runs.in_use.get(target, 0), target)
             for target, count in self._granted.items()
-            if count > self._in_use.get(target, 0) and target not in out
+            if count > self.runs.in_use.get(target, 0) and target not in out
         ]
         usable = [pair for pair in idle if pair[1] not in avoid]
         if not usable:
@@ -106,10 +98,7 @@
         target = self._rng.choice(
             sorted(target for count, target in usable if count == most)
         )
-        self._in_use[target] = self._in_use.get(target, 0) + 1
-        self._next_run += 1
-        self._running[self._next_run] = (target, route, team, now_ms)
-        return self._next_run, target
+        return self.runs.start(target, route, team, now_ms), target
 
     def release(
         self,
@@ -119,16 +108,16 @@
         now_ms: float,
     ) -> None:
         """End a run and take its evidence."""
-        target, route, _, started_ms = self._running.pop(run)
-        if outcome is not outcome_.Outcome.CANCELLED:
-            run_ms = now_ms - started_ms
-            self.usual_run_ms += _RUN_WEIGHT * (run_ms - self.usual_run_ms)
-        self._in_use[target] -= 1
-        if not self._in_use[target]:
-            del self._in_use[target]
+        target, route = self.runs.end(run, outcome, now_ms)
         self.evidence.finish(target, route, outcome, latency_ms)
         self._avoidance.note(target, outcome, now_ms)
 
+    def unreachable(self, target: model.TargetId, now_ms: float) -> None:
+        """Take a failed probe of a target."""
+        outcome = outcome_.Outcome.CONNECT_FAILED
+        self.evidence.finish(target, model.RouteId(""), outcome, 0.0)
+        self._avoidance.note(target, outcome, now_ms)
+
     def is_short(self, now_ms: float) -> bool:
         """Tell whether there is demand that the slots do not meet."""
         return sum(self.waiting.values()) > self._idle(now_ms)
@@ -140,7 +129,7 @@
 
     def is_busy(self) -> bool:
         """Tell whether requests wait or run."""
-        return bool(self._running or self.waiting)
+        return bool(len(self.runs) or self.waiting)
 
     def report(self, now_ms: float) -> messages.Report:
         """Return the next report; idle slots that it leaves out are gone."""
@@ -151,9 +140,9 @@
         self._asked_ms = now_ms
         held = {
             target: max(
-                self._granted.get(target, 0), self._in_use.get(target, 0)
+                self._granted.get(target, 0), self.runs.in_use.get(target, 0)
             )
-            for target in self._granted.keys() | self._in_use.keys()
+            for target in self._granted.keys() | self.runs.in_use.keys()
         }
         return messages.Report(
             service=self.service,
@@ -164,7 +153,7 @@
             echo_ms=self._echo_ms,
             held=self._indexed(held),
             demand=tuple(sorted(self._demand().items())),
-            evidence=self.evidence.take(self._index, self._ages(now_ms)),
+            evidence=self.evidence.take(self._index, self.runs.ages(now_ms)),
             avoided=tuple(
                 self._index[target]
                 for target in sorted(avoided)
@@ -207,7 +196,7 @@
 
     def _demand(self) -> dict[model.TeamId, int]:
         demand = dict(self.waiting)
-        for _, _, team, _ in self._running.values():
+        for team in self.runs.teams():
             demand[team] = demand.get(team, 0) + 1
         return demand
 
@@ -215,7 +204,7 @@
         if not self._permission.is_valid(now_ms):
             return 0
         return sum(
-            max(0, count - self._in_use.get(target, 0))
+            max(0, count - self.runs.in_use.get(target, 0))
             for target, count in self._granted.items()
             if target not in self._shunned
         )
@@ -228,7 +217,7 @@
         keep = sum(self.waiting.values()) + self._reserve
         out = avoided | self._stopped
         for target, count in list(self._granted.items()):
-            busy = self._in_use.get(target, 0)
+            busy = self.runs.in_use.get(target, 0)
             idle = max(0, min(count - busy, keep))
             if not is_valid or target in out:
                 idle = 0
@@ -244,14 +233,6 @@
             if count and target in self._index
         )
 
-    def _ages(
-        self, now_ms: float
-    ) -> list[tuple[model.TargetId, model.RouteId, float]]:
-        return [
-            (target, route, now_ms - started_ms)
-            for target, route, _, started_ms in self._running.values()
-        ]
-
 
 def _reorder(
     states: bytes,
--- a/src/pomeloward/service/ledger.py
+++ b/src/pomeloward/service/ledger.py
@@ -29,7 +29,7 @@
 
     def __init__(self, loan_ms: float, hold_ms: float) -> None:
         self._loan_ms = loan_ms
-        self._hold_ms = hold_ms
+        self._hold_ms = hold_ms * (1 + model.MAX_DRIFT_RATIO)
         self._entries: dict[model.HostId, _Entry] = {}
         self._live: dict[model.TargetId, int] = {}
         self._lapsed: dict[model.TargetId, int] = {}
--- a/src/pomeloward/service/targetrecord.py
+++ b/src/pomeloward/service/targetrecord.py
@@ -35,7 +35,8 @@
         self.not_before_ms = 0.0
         self.window = window.Window(tuning.evaluate_ms, max(tuning.windows_ms))
         self._tuning = tuning
-        self._changed_ms = 0.0
+        self._entered_ms = 0.0
+        self._interval_ms = 0.0
         self._since = window.Sums()
 
     @property
@@ -69,6 +70,7 @@
                 now_ms, self._tuning.hint_ms
             )
         self.state = state
+        self._entered_ms = now_ms
         self.level = 1
         self.streak = 0
         self._restart(now_ms)
@@ -85,7 +87,7 @@
     def eject(self, now_ms: float, rng: random.Random) -> None:
         """Take the target out for a backoff with jitter."""
         tuning = self._tuning
-        if now_ms - self._changed_ms > tuning.forgive_ms:
+        if now_ms - self._entered_ms > tuning.forgive_ms:
             self.ejections = 0
         backoff_ms = min(
             tuning.max_backoff_ms, tuning.backoff_ms * 2**self.ejections
@@ -104,8 +106,14 @@
     def observe(
         self, host: model.HostId, evidence: messages.Evidence, now_ms: float
     ) -> None:
-        """Take the evidence of one report."""
+        """Take the evidence of one report.
+
+        An interval of slow start begins with its first answers, since an
+        idle target does not warm up.
+        """
         self.window.add(host, evidence, now_ms)
+        if not self._since.count:
+            self._interval_ms = now_ms
         self._since.count += evidence.count
         self._since.errors += evidence.errors + evidence.connect_failures
         self._since.sheds += evidence.sheds
@@ -122,7 +130,7 @@
             self._restart(now_ms)
             return
         length_ms = self._tuning.ramp_ms * (1 + model.MAX_DRIFT_RATIO)
-        if now_ms - self._changed_ms < length_ms or since.count < self.level:
+        if now_ms - self._interval_ms < length_ms or since.count < self.level:
             return
         is_healthy = not (is_slow or since.errors or since.sheds)
         self._restart(now_ms)
@@ -152,5 +160,5 @@
         return None
 
     def _restart(self, now_ms: float) -> None:
-        self._changed_ms = now_ms
+        self._interval_ms = now_ms
         self._since = window.Sums()
--- a/src/pomeloward/service/targetset.py
+++ b/src/pomeloward/service/targetset.py
@@ -76,6 +76,9 @@
             record.slots = slots
             self._exclude(record, zone, now_ms)
             self.records.append(record)
+        if is_first:
+            slots = floor.most_avoid_slots(self.records, self._floor_ratio)
+            self._avoid_until_ms[slots] = now_ms + self._tuning.loan_wait_ms
         self.digest = table_digest(self.ids())
         self._keep_floor(now_ms)
 
