--- a/tests/service/test_controller.py
+++ b/tests/service/test_controller.py
@@ -27,7 +27,7 @@
 
     @stateful.rule(index=HOST)
     def send(self, index):
-        """A message stays in flight until it is delivered or lost."""
+        """Put a report into flight until it is delivered or lost."""
         self.world.send_report(self.host(index))
 
     @stateful.rule(data=strategies.data(), is_copy=strategies.booleans())
@@ -48,7 +48,7 @@
 
     @stateful.rule(index=HOST, count=strategies.integers(1, 8))
     def work(self, index, count):
-        """A host takes slots for its demand and uses them at once."""
+        """Let a host take slots for its demand and use them at once."""
         host = self.host(index)
         host.slots.waiting = {"a": count}
         self.world.exchange(host)
@@ -59,7 +59,7 @@
 
     @stateful.rule(index=HOST)
     def acquire(self, index):
-        """A request takes a slot, and its host pauses before it sends."""
+        """Let a request take a slot; its host pauses before it sends."""
         self.world.acquire(self.host(index))
 
     @stateful.rule(index=HOST)
@@ -75,7 +75,7 @@
 
     @stateful.rule(rounds=strategies.integers(1, 5))
     def busy(self, rounds):
-        """All hosts work for some seconds, so that slow start proceeds."""
+        """Let all hosts work for some seconds, so that slow start ends."""
         for _ in range(rounds):
             for index in range(3):
                 self.work(index, 6)
@@ -97,7 +97,7 @@
         is_stop=strategies.booleans(),
     )
     def leave(self, index, step_ms, place, is_stop):
-        """A target leaves or comes back; one host hears of it later."""
+        """Let a target leave or come back; one host hears of it later."""
         view = self.world.view
         view.target_list[place] = msgspec.structs.replace(
             view.target_list[place], is_leaving=is_stop
@@ -118,7 +118,7 @@
 
     @stateful.rule(place=PLACE)
     def restart(self, place):
-        """A target restarts while it has been out of work for long."""
+        """Restart a target that has been out of work for long."""
         name = self.world.view.target_list[place].id
         stopped_ms = self.world.stopped_at_ms.get(name, float("inf"))
         reference = self.world.targets[name]
@@ -154,7 +154,7 @@
 
     @stateful.invariant()
     def floor_holds(self):
-        """An ejection leaves the floor, whatever hosts avoid besides."""
+        """Check the floor, whatever hosts avoid besides."""
         records = self.world.controller.targets.records
         need = 0.5 * floor.capacity(records)
         new = [
