--- a/src/pomeloward/catalog/configuration.py
+++ b/src/pomeloward/catalog/configuration.py
@@ -116,6 +116,10 @@
         for of_kind in kind.Kind:
             yield from self.records_of(of_kind)
 
+    def memory_bytes(self) -> int:
+        """Return the memory of all tables with their indexes."""
+        return self._state.memory_bytes()
+
     def payload_bytes(self) -> int:
         """Return the size of all packed records together."""
         return sum(
--- a/src/pomeloward/catalog/shard.py
+++ b/src/pomeloward/catalog/shard.py
@@ -3,6 +3,7 @@
 import array
 import bisect
 import collections.abc
+import sys
 
 
 class Shard:
@@ -40,8 +41,19 @@
 
     def entries(self) -> collections.abc.Iterator[tuple[int, bytes]]:
         """Iterate over hashes and payloads in order of hash."""
-        for index, hashed in enumerate(self._hashes):
-            yield hashed, self._at(index)
+        return zip(self._hashes, self.payloads(), strict=True)
+
+    def payloads(self) -> collections.abc.Iterator[bytes]:
+        """Iterate over payloads in order of hash."""
+        start = 0
+        for end in self._ends:
+            yield self._payload[start:end]
+            start = end
+
+    def memory_bytes(self) -> int:
+        """Return the memory that the shard takes, with its parts."""
+        parts = (self, self._hashes, self._ends, self._payload)
+        return sum(map(sys.getsizeof, parts))
 
     def payload_bytes(self) -> int:
         """Return the size of all payloads together."""
--- a/src/pomeloward/catalog/state.py
+++ b/src/pomeloward/catalog/state.py
@@ -21,6 +21,14 @@
     groups: table.Table[codec.Group]
     counts: table.Table[codec.Count]
 
+    def memory_bytes(self) -> int:
+        """Return the memory of all tables."""
+        return (
+            sum(table.memory_bytes() for table in self.tables.values())
+            + self.groups.memory_bytes()
+            + self.counts.memory_bytes()
+        )
+
     def members(self, group: str) -> tuple[str, ...]:
         """Return the members of a group, which is empty when absent."""
         found = self.groups.get(group)
--- a/src/pomeloward/catalog/table.py
+++ b/src/pomeloward/catalog/table.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import sys
 import typing
 
 import xxhash
@@ -61,8 +62,14 @@
     ) -> collections.abc.Iterator[bytes]:
         """Iterate over the packed values of a range of shards."""
         for part in self._shards[first:end]:
-            for _, payload in part.entries():
-                yield payload
+            # Most shards of a small configuration are this one.
+            if part is not _EMPTY:
+                yield from part.payloads()
+
+    def memory_bytes(self) -> int:
+        """Return the memory of all shards and of their list."""
+        shards = sum(part.memory_bytes() for part in set(self._shards))
+        return shards + sys.getsizeof(self._shards)
 
     def payload_bytes(self) -> int:
         """Return the size of all packed values together."""
