--- a/src/pomeloward/catalog/codec.py
+++ b/src/pomeloward/catalog/codec.py
@@ -34,10 +34,11 @@
     """Packs records of one kind as MessagePack arrays of their fields."""
 
     def __init__(self, record_type: type[msgspec.Struct]) -> None:
-        fields = msgspec.structs.fields(record_type)
-        row = tuple.__class_getitem__(tuple(field.type for field in fields))
+        self._fields = msgspec.structs.fields(record_type)
+        types = tuple(field.type for field in self._fields)
+        self._row = tuple.__class_getitem__(types)
         self._decoder: msgspec.msgpack.Decoder[tuple[typing.Any, ...]] = (
-            msgspec.msgpack.Decoder(row)
+            msgspec.msgpack.Decoder(self._row)
         )
         self._build = typing.cast(
             collections.abc.Callable[..., records.Record], record_type
@@ -51,6 +52,22 @@
         """Return the record of an array of fields."""
         return self._build(*self._decoder.decode(payload))
 
+    def decode_foreign(self, payload: bytes) -> records.Record:
+        """Return the record of another software version's array.
+
+        New fields go to the end of a record with a default, so that fields
+        may be missing or unknown during an upgrade.
+        """
+        found = msgspec.msgpack.decode(payload)
+        if not isinstance(found, list):
+            raise msgspec.ValidationError("a record is not an array")
+        values = found[: len(self._fields)]
+        for field in self._fields[len(values) :]:
+            if field.default is msgspec.NODEFAULT:
+                raise msgspec.ValidationError(f"no field {field.name}")
+            values.append(field.default)
+        return self._build(*msgspec.convert(values, self._row))
+
     def name(self, value: records.Record) -> str:
         """Return the identity of a record."""
         return kind.name_of(value)
--- a/src/pomeloward/catalog/loader.py
+++ b/src/pomeloward/catalog/loader.py
@@ -1,9 +1,10 @@
 """Loads a whole configuration with little memory beside it."""
 
 import collections.abc
-import itertools
+import typing
 
 from pomeloward import model
+from pomeloward.catalog import codec
 from pomeloward.catalog import draft
 from pomeloward.catalog import kind
 from pomeloward.catalog import recordrules
@@ -11,9 +12,7 @@
 from pomeloward.catalog import rejection
 from pomeloward.catalog import relationrules
 from pomeloward.catalog import state
-
-# Bounds the unpacked records in memory to a few megabytes.
-BATCH_RECORDS = 4_096
+from pomeloward.catalog import tablebuilder
 
 
 def load(
@@ -22,20 +21,28 @@
     """Return the state of a snapshot's records.
 
     Raises ``ConfigurationError`` when a record comes twice or a rule is
-    broken. Rules between records are checked after the last batch.
+    broken. Rules between records are checked once all are packed.
     """
-    loaded = state.empty_state()
-    remaining = iter(found)
-    while batch := list(itertools.islice(remaining, BATCH_RECORDS)):
-        rejection.reject(version, _record_reasons(batch))
-        steps = [
-            draft.Step(
-                kind.kind_of(record), kind.name_of(record), None, record
-            )
-            for record in batch
-        ]
-        rejection.reject(version, _repeated(loaded, steps))
-        loaded = draft.Draft(loaded, steps).build()
+    builders = {
+        of_kind: tablebuilder.TableBuilder(record_codec, _refuse_second)
+        for of_kind, record_codec in state.CODECS.items()
+    }
+    groups = tablebuilder.TableBuilder(codec.GroupCodec(), _merge_groups)
+    counts = tablebuilder.TableBuilder(codec.CountCodec(), _merge_counts)
+    for record in found:
+        rejection.reject(version, _record_reasons(record))
+        builders[kind.kind_of(record)].add(record)
+        for of_kind, name in kind.references_of(record):
+            counts.add(codec.Count(f"{of_kind.value}/{name}", 1))
+        for group in state.groups_of(record):
+            groups.add(codec.Group(group, (kind.name_of(record),)))
+    loaded = state.State(
+        tables={
+            of_kind: builder.build() for of_kind, builder in builders.items()
+        },
+        groups=groups.build(),
+        counts=counts.build(),
+    )
     rejection.reject(
         version,
         relationrules.broken_rules(
@@ -45,26 +52,29 @@
     return loaded
 
 
-def _record_reasons(
-    batch: list[records.Record],
-) -> collections.abc.Iterator[str]:
-    for record in batch:
-        for reason in recordrules.broken_rules(record):
-            yield (
-                f"{kind.kind_of(record).value} {kind.name_of(record)}: "
-                f"{reason}"
-            )
+def _refuse_second(
+    first: records.Record, second: records.Record
+) -> typing.NoReturn:
+    raise model.ConfigurationError(
+        f"{kind.kind_of(second).value} {kind.name_of(second)}: named twice"
+    )
 
 
-def _repeated(
-    loaded: state.State, steps: list[draft.Step]
+def _merge_groups(first: codec.Group, second: codec.Group) -> codec.Group:
+    members = {*first.members, *second.members}
+    return codec.Group(first.name, tuple(sorted(members)))
+
+
+def _merge_counts(first: codec.Count, second: codec.Count) -> codec.Count:
+    return codec.Count(first.name, first.count + second.count)
+
+
+def _record_reasons(
+    record: records.Record,
 ) -> collections.abc.Iterator[str]:
-    seen: set[tuple[kind.Kind, str]] = set()
-    for step in steps:
-        place = (step.of_kind, step.name)
-        if place in seen or loaded.get(*place) is not None:
-            yield f"{step.of_kind.value} {step.name}: named twice"
-        seen.add(place)
+    for reason in recordrules.broken_rules(record):
+        place = f"{kind.kind_of(record).value} {kind.name_of(record)}"
+        yield f"{place}: {reason}"
 
 
 def _steps(loaded: state.State) -> collections.abc.Iterator[draft.Step]:
--- a/src/pomeloward/catalog/pages.py
+++ b/src/pomeloward/catalog/pages.py
@@ -57,7 +57,7 @@
             for of_kind, payloads in _DECODER.decode(page).items():
                 codec = state.CODECS[of_kind]
                 for payload in payloads:
-                    yield codec.decode(payload)
+                    yield codec.decode_foreign(payload)
         except (msgspec.MsgspecError, UnicodeError) as error:
             raise model.ConfigurationError(
                 f"malformed page: {error}"
--- a/src/pomeloward/catalog/recordrules.py
+++ b/src/pomeloward/catalog/recordrules.py
@@ -69,6 +69,8 @@
         yield "hosts is empty"
     if len(set(record.hosts)) != len(record.hosts):
         yield "hosts names a host twice"
+    if record.zones and len(record.zones) != len(record.hosts):
+        yield "zones must name the zone of each host"
 
 
 def _team(record: records.Team) -> Reasons:
--- a/src/pomeloward/catalog/relationrules.py
+++ b/src/pomeloward/catalog/relationrules.py
@@ -93,13 +93,18 @@
 
 
 def _roster_hosts(new: state.State, roster: records.Roster) -> Reasons:
+    place = f"roster {kind.name_of(roster)}"
     for name in roster.hosts:
         host = new.get(kind.Kind.HOST, name)
         if isinstance(host, records.Host) and host.region != roster.region:
-            yield (
-                f"roster {kind.name_of(roster)}: host {name} is in region "
-                f"{host.region}"
-            )
+            yield f"{place}: host {name} is in region {host.region}"
+    known = {
+        each.id
+        for each in new.tables[kind.Kind.ZONE].values()
+        if isinstance(each, records.Zone) and each.region == roster.region
+    }
+    for zone in sorted(set(roster.zones) - known):
+        yield f"{place}: zone {zone} is not in the region"
 
 
 def _shares(new: state.State, service: str) -> Reasons:
--- a/src/pomeloward/catalog/table.py
+++ b/src/pomeloward/catalog/table.py
@@ -16,8 +16,8 @@
 # 62 teams or 125 keys in a shard at the planned size: an update rewrites
 # about 6 KB, and copying the list of shards costs another 8 KB.
 SHARD_COUNT = 1024
-_SHIFT = 64 - 10
-_EMPTY = shard.Shard()
+SHIFT = 64 - 10
+EMPTY = shard.Shard()
 
 
 class Table(typing.Generic[Value]):
@@ -34,7 +34,7 @@
     def __init__(
         self,
         value_codec: codec.Codec[Value],
-        shards: tuple[shard.Shard, ...] = (_EMPTY,) * SHARD_COUNT,
+        shards: tuple[shard.Shard, ...] = (EMPTY,) * SHARD_COUNT,
     ) -> None:
         self._codec = value_codec
         self._shards = shards
@@ -45,7 +45,7 @@
     def get(self, name: str) -> Value | None:
         """Return the value of a name."""
         hashed = xxhash.xxh64_intdigest(name.encode())
-        payload = self._shards[hashed >> _SHIFT].get(hashed)
+        payload = self._shards[hashed >> SHIFT].get(hashed)
         if payload is None:
             return None
         value = self._codec.decode(payload)
@@ -63,7 +63,7 @@
         """Iterate over the packed values of a range of shards."""
         for part in self._shards[first:end]:
             # Most shards of a small configuration are this one.
-            if part is not _EMPTY:
+            if part is not EMPTY:
                 yield from part.payloads()
 
     def memory_bytes(self) -> int:
@@ -89,12 +89,12 @@
         )
         for name in delete:
             hashed = xxhash.xxh64_intdigest(name.encode())
-            changes[hashed >> _SHIFT][hashed] = None
+            changes[hashed >> SHIFT][hashed] = None
         for value in put:
             name = self._codec.name(value)
             hashed = xxhash.xxh64_intdigest(name.encode())
-            part = changes[hashed >> _SHIFT]
-            known = part.get(hashed) or self._shards[hashed >> _SHIFT].get(
+            part = changes[hashed >> SHIFT]
+            known = part.get(hashed) or self._shards[hashed >> SHIFT].get(
                 hashed
             )
             if known is not None:
--- a/src/pomeloward/catalog/transitionrules.py
+++ b/src/pomeloward/catalog/transitionrules.py
@@ -41,7 +41,7 @@
     """Rosters decide majorities, so they never change once published."""
     old, new = step.old, step.new
     if isinstance(old, records.Roster) and isinstance(new, records.Roster):
-        if old.hosts != new.hosts:
+        if old != new:
             yield "a published roster cannot change; publish a new number"
         return
     region = step.name.rpartition("/")[0]
--- a/tests/catalog/test_configuration.py
+++ b/tests/catalog/test_configuration.py
@@ -80,6 +80,21 @@
         ([catalog.Region("north", 64, 0.5)], [], "more than 1"),
         ([catalog.Roster("south", 1, ("h1",))], [], "cannot change"),
         ([catalog.Roster("south", 2, ("h1", "h9"))], [], "not known"),
+        (
+            [catalog.Roster("south", 1, ("h1", "h2"), ("opuwo", "opuwo"))],
+            [],
+            "cannot change",
+        ),
+        (
+            [catalog.Roster("south", 2, ("h1", "h2"), ("opuwo",))],
+            [],
+            "zone of each host",
+        ),
+        (
+            [catalog.Roster("south", 2, ("h1",), ("vacaria",))],
+            [],
+            "not in the region",
+        ),
         ([catalog.Roster("south", 2, ("h1", "h1"))], [], "twice"),
         ([], [(_KIND.ROSTER, "south/1")], "newest roster"),
         ([], [(_KIND.TEAM, "crew")], "records refer to it"),
