--- a/tests/catalog/test_spreader.py
+++ b/tests/catalog/test_spreader.py
@@ -193,4 +193,4 @@
 
 
 def test_configuration_spreads_safely():
-    seeds.run_machine(Spreading, max_examples=30, step_count=40)
+    seeds.run_machine(Spreading, max_examples=80, step_count=40)
