--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -103,13 +103,13 @@
                 catalog.Kind.KEY, plannedsize.digest(number).hex()
             )
             changed = catalog.Change(current.version, version, delete=(key,))
-        payloads.append(changes.encode(changed))
+        payloads.append(changes.encode_change(changed))
         current = current.applied(changed)
     rest = iter(payloads)
     state = [view]
 
     def decode_and_apply() -> None:
-        state[0] = state[0].applied(changes.decode(next(rest)))
+        state[0] = state[0].applied(changes.decode_change(next(rest)))
 
     _timed("decode and apply one change", decode_and_apply, [()] * 2_000)
     mean = statistics.fmean(len(payload) for payload in payloads)
@@ -127,7 +127,7 @@
         node.on_built(view, 0.0)
         nodes[name] = node
     team = catalog.Team(model.TeamId("crew"), 1.0, 1.0)
-    payload = changes.encode(
+    payload = changes.encode_change(
         catalog.Change(view.version, model.Version(2), (team,))
     )
     queue: collections.deque[tuple[model.HostId, int]] = collections.deque(
--- a/src/pomeloward/catalog/change.py
+++ b/src/pomeloward/catalog/change.py
@@ -32,12 +32,12 @@
 _ENCODER = msgspec.json.Encoder()
 
 
-def encode(change: Change) -> bytes:
+def encode_change(change: Change) -> bytes:
     """Return the JSON of a change, as the platform holds it."""
     return _ENCODER.encode(change)
 
 
-def decode(payload: bytes) -> Change:
+def decode_change(payload: bytes) -> Change:
     """Read a change; raises ``ConfigurationError`` when it is malformed."""
     try:
         return _DECODER.decode(payload)
--- a/src/pomeloward/catalog/store.py
+++ b/src/pomeloward/catalog/store.py
@@ -38,7 +38,7 @@
     def offer(self, payload: bytes) -> tuple[Verdict, change.Change | None]:
         """Take a published change, from the platform or from a peer."""
         try:
-            changed = change.decode(payload)
+            changed = change.decode_change(payload)
             if changed.version <= self.current.version:
                 return Verdict.STALE, changed
             if changed.base > self.current.version:
--- a/src/pomeloward/platform/__init__.py
+++ b/src/pomeloward/platform/__init__.py
@@ -1,6 +1,7 @@
 """Reads the platform's configuration service and host list."""
 
 from pomeloward.platform.head import change_name as change_name
+from pomeloward.platform.head import decode_head as decode_head
 from pomeloward.platform.head import Head as Head
 from pomeloward.platform.head import HEAD_NAME as HEAD_NAME
 from pomeloward.platform.head import snapshot_name as snapshot_name
--- a/tests/catalog/test_shell.py
+++ b/tests/catalog/test_shell.py
@@ -66,7 +66,7 @@
                 if not shells["h2"].decisions.is_ready:
                     await anyio.sleep(0.02)
             assert shells["h2"].decisions.is_ready
-            payload = change.encode(samples.change(5))
+            payload = change.encode_change(samples.change(5))
             shells["h1"].on_published_change(payload, 0.0)
             group.cancel_scope.cancel()
         assert shells["h2"].accepted_version() == 6
--- a/tests/catalog/world.py
+++ b/tests/catalog/world.py
@@ -59,7 +59,7 @@
             last.version, last.version + 1, tuple(put), deletions
         )
         self.published.append(last.applied(changed))
-        self.payloads[changed.version] = change.encode(changed)
+        self.payloads[changed.version] = change.encode_change(changed)
 
     def read(self, host, lag=0):
         """Let a host read the platform, whose copy may be stale."""
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -24,7 +24,7 @@
 
     def publish(self, changed):
         name = platform.change_name(changed.version)
-        self.put(name, change.encode(changed))
+        self.put(name, change.encode_change(changed))
         self.publish_head(
             msgspec.structs.replace(self.head, version=changed.version)
         )
--- a/tests/platform/test_reader.py
+++ b/tests/platform/test_reader.py
@@ -27,7 +27,7 @@
 
     def on_published_change(self, payload, now_ms):
         try:
-            self.view = self.view.applied(change.decode(payload))
+            self.view = self.view.applied(change.decode_change(payload))
         except model.ConfigurationError as error:
             self.rejected.append(str(error))
 
@@ -108,7 +108,9 @@
         memory.publish_head(platform.Head(5, 4, 1))
         await anyio.sleep(5)
         assert sink.view.version == 4
-        memory.put(platform.change_name(5), change.encode(samples.change(4)))
+        memory.put(
+            platform.change_name(5), change.encode_change(samples.change(4))
+        )
         await anyio.sleep(5)
 
     _, sink = _run(script)
