Take tasks and URL parsing out of the request path

Cause: each request started two tasks (watch of its caller, hedge race) and parsed its URL again. Change: one loop watches callers after 20 ms, one loop starts hedges, and the transport gets a request without httpx's own parsing.

--- a/src/pomeloward/dispatch/attempt.py
+++ b/src/pomeloward/dispatch/attempt.py
@@ -8,6 +8,7 @@
 
 from pomeloward.dispatch import failure as failures
 from pomeloward.dispatch import links
+from pomeloward.dispatch import outgoing
 from pomeloward.dispatch import request as requests
 from pomeloward.dispatch import steps
 
@@ -63,14 +64,15 @@
             "read": self._idle_s,
             "write": self._idle_s,
         }
-        outgoing = httpx.Request(
+        sent = outgoing.outgoing(
             request.method,
-            self.link.base.copy_with(raw_path=request.target_path),
-            headers=headers,
-            stream=_BodyStream(request.body),
-            extensions={"timeout": timeout, "trace": self._trace},
+            self.link.base,
+            request.target_path,
+            headers,
+            _BodyStream(request.body),
+            {"timeout": timeout, "trace": self._trace},
         )
-        return await self.link.transport.handle_async_request(outgoing)
+        return await self.link.transport.handle_async_request(sent)
 
     async def _trace(self, event: str, info: dict[str, typing.Any]) -> None:
         """Check the permissions at the last moment before the first byte."""
--- a/src/pomeloward/dispatch/dispatcher.py
+++ b/src/pomeloward/dispatch/dispatcher.py
@@ -11,7 +11,7 @@
 from pomeloward.dispatch import budgets
 from pomeloward.dispatch import failed as faileds
 from pomeloward.dispatch import failedattempt
-from pomeloward.dispatch import hedge
+from pomeloward.dispatch import hedger
 from pomeloward.dispatch import request as requests
 from pomeloward.dispatch import retryrule
 from pomeloward.dispatch import sender
@@ -38,11 +38,15 @@
         journal: observe.Journal,
     ) -> None:
         self._admission = admission
-        self._spares = spares
+        self._hedger = hedger.Hedger(attempts, spares)
         self._sender = attempts
         self._journal = journal
         self._budgets = budgets.Budgets()
 
+    async def run(self) -> None:
+        """Start hedged attempts until cancelled."""
+        await self._hedger.run()
+
     async def send(self, request: requests.TargetRequest) -> DispatchResult:
         """Return the answer's head, or why there is none."""
         ticket = queue.Ticket(
@@ -135,9 +139,7 @@
         if not request.route.is_idempotent or not request.body.can_replay:
             result = await self._sender.send(request, hold)
         else:
-            result = await hedge.send_hedged(
-                self._sender, self._spares, budget, request, hold
-            )
+            result = await self._hedger.send(request, hold, budget)
         if isinstance(result, answers.Answer):
             budget.on_latency(result.latency_ms)
         return result
--- a/src/pomeloward/entry/exchange.py
+++ b/src/pomeloward/entry/exchange.py
@@ -58,6 +58,7 @@
         message = await self._receive()
         if not message.get("more_body", False):
             self._is_request_ended = True
+            self._request_ended.set()
         return message
 
     async def start(self, status: int, headers: separation.Headers) -> None:
@@ -138,8 +139,6 @@
     async def _read_away(self) -> None:
         while True:
             message = await self.receive()
-            if not message.get("more_body", False):
-                self._request_ended.set()
             if message["type"] != "http.request":
                 return
 
--- a/src/pomeloward/entry/handler.py
+++ b/src/pomeloward/entry/handler.py
@@ -76,9 +76,12 @@
         now_ms: float,
     ) -> openwork.Work:
         """Run a request until it ends or its work is ended from outside."""
-        async with anyio.create_task_group() as tasks:
-            work = self._open_work.add(request.id, grant, tasks.cancel_scope)
-            tasks.start_soon(_watch, request, body, exchange, work)
+
+        async def watch(work: openwork.Work) -> None:
+            await _watch(request, body, exchange, work)
+
+        with anyio.CancelScope() as scope:
+            work = self._open_work.add(request.id, grant, scope, watch)
             try:
                 await self._run(request, grant, body, exchange, now_ms)
             except bodies.CallerGone:
@@ -93,7 +96,6 @@
                 )
             finally:
                 self._open_work.remove(work)
-            tasks.cancel_scope.cancel()
         return work
 
     async def _run(
--- a/src/pomeloward/gateway/gateway.py
+++ b/src/pomeloward/gateway/gateway.py
@@ -52,6 +52,17 @@
         self._links = dispatch.Links(
             limits.target_idle_ms, host_settings.address
         )
+        self._dispatcher = dispatch.Dispatcher(
+            self._shared.admission,
+            self._shared.slots,
+            dispatch.Sender(
+                self._known,
+                self._links,
+                limits.connect_ms,
+                limits.stream_idle_ms,
+            ),
+            self._journal,
+        )
         self._foundation.on_view(self._on_view)
 
     async def run(self) -> None:
@@ -68,6 +79,8 @@
                 )
                 tasks.start_soon(self._become_ready, started)
                 tasks.start_soon(self._watch_standing)
+                tasks.start_soon(self._open_work.run)
+                tasks.start_soon(self._dispatcher.run)
                 tasks.start_soon(self._serve, app, tasks.cancel_scope)
         finally:
             with anyio.CancelScope(shield=True):
@@ -133,9 +146,6 @@
         gatekeeper = entry.Gatekeeper(self._condition, limits)
         orders = localorders.LocalOrders()
         parts = self._shared
-        sender = dispatch.Sender(
-            self._known, self._links, limits.connect_ms, limits.stream_idle_ms
-        )
         self._metrics.gauge(
             "pomeloward_open_requests", lambda: len(self._open_work)
         )
@@ -145,9 +155,7 @@
                 gatekeeper,
                 orders,
                 parts.budget,
-                dispatch.Dispatcher(
-                    parts.admission, parts.slots, sender, self._journal
-                ),
+                self._dispatcher,
                 self._open_work,
                 recorder,
                 limits,
