Run hosts as a fleet

Cause: a host worked only by itself. Change: the fleet foundation joins peers, the spread configuration, the platform's reader, heartbeats and leased ownership; rates, slots and orders of the fleet run on it.

--- a/src/pomeloward/entry/__init__.py
+++ b/src/pomeloward/entry/__init__.py
@@ -5,7 +5,6 @@
 from pomeloward.entry.gatekeeper import Gatekeeper as Gatekeeper
 from pomeloward.entry.handler import Handler as Handler
 from pomeloward.entry.openwork import OpenWork as OpenWork
-from pomeloward.entry.recorded import RecordedAnswer as RecordedAnswer
 from pomeloward.entry.recorder import Recorder as Recorder
 from pomeloward.entry.server import serve as serve
 from pomeloward.entry.steps import AddressAnswer as AddressAnswer
--- a/src/pomeloward/entry/handler.py
+++ b/src/pomeloward/entry/handler.py
@@ -1,6 +1,7 @@
 """Runs one HTTP request through the steps of a host."""
 
 import anyio
+import expression
 
 from pomeloward import dispatch
 from pomeloward import model
@@ -17,6 +18,16 @@
 from pomeloward.entry import steps
 from pomeloward.entry import targetrequests
 
+# Refusals of this host that another host may serve.
+_ELSEWHERE = frozenset(
+    {
+        model.ErrorKind.CONNECTION_LIMIT,
+        model.ErrorKind.HOST_DRAINING,
+        model.ErrorKind.HOST_ISOLATED,
+        model.ErrorKind.HOST_STARTING,
+    }
+)
+
 
 class Handler:
     """The steps of a request in their order.
@@ -33,6 +44,7 @@
         dispatcher: dispatch.Dispatcher,
         open_work: openwork.OpenWork,
         recorder: recorders.Recorder,
+        book: steps.AddressBook,
         limits: settings.Limits,
     ) -> None:
         self._gatekeeper = gatekeeper
@@ -41,6 +53,7 @@
         self._dispatcher = dispatcher
         self._open_work = open_work
         self._recorder = recorder
+        self._book = book
         self._limits = limits
 
     async def handle(
@@ -148,12 +161,8 @@
             await self._refuse(exchange, refusal, outgoing.team)
             return
         data = await body.read_whole(self._limits.order_body_bytes)
-        claimed = await self._orders.claim(
-            outgoing.team,
-            outgoing.route.id,
-            request.order_key,
-            orderpath.digest(request.method, request.target_path, data),
-        )
+        digest = orderpath.digest(request.method, request.target_path, data)
+        claimed = await self._claim(outgoing, request.order_key, digest)
         if claimed.is_error():
             await self._refuse(exchange, claimed.error, outgoing.team)
             return
@@ -172,6 +181,22 @@
         await exchange.start(answer.status, list(answer.headers))
         await exchange.finish(answer.body)
 
+    async def _claim(
+        self, outgoing: dispatch.TargetRequest, key: str, digest: bytes
+    ) -> expression.Result[steps.Claim, model.Refusal]:
+        """Claim an order while its deadline allows."""
+        with anyio.CancelScope(deadline=outgoing.deadline_ms / 1_000):
+            return await self._orders.claim(
+                outgoing.team, outgoing.route.id, key, digest
+            )
+        return expression.Error(
+            model.Refusal(
+                model.ErrorKind.ORDER_OWNER_UNAVAILABLE,
+                "the order could not be claimed before its deadline",
+                retry_after_ms=1_000,
+            )
+        )
+
     async def _take_rate(self, team: model.TeamId) -> model.Refusal | None:
         if team == grants.NO_TEAM:
             return None
@@ -201,7 +226,13 @@
         team: model.TeamId | None = None,
     ) -> None:
         self._recorder.refused(refusal, exchange.request, team)
-        await exchange.refuse(refusal)
+        headers = []
+        if refusal.kind in _ELSEWHERE:
+            now_ms = anyio.current_time() * 1_000
+            answer = self._book.answer(team, now_ms)
+            rows = ", ".join(f"{a.address}:{a.port}" for a in answer.addresses)
+            headers.append((b"pomeloward-addresses", rows.encode("ascii")))
+        await exchange.refuse(refusal, headers)
 
     async def _end(
         self, work: openwork.Work, exchange: exchanges.Exchange
--- a/src/pomeloward/entry/orderpath.py
+++ b/src/pomeloward/entry/orderpath.py
@@ -6,7 +6,7 @@
 
 from pomeloward import dispatch
 from pomeloward import model
-from pomeloward.entry import recorded
+from pomeloward import orders
 from pomeloward.entry import steps
 
 # A recorded answer is kept at several hosts for the retry horizon.
@@ -45,7 +45,7 @@
 
     async def run(
         self, dispatcher: dispatch.Dispatcher
-    ) -> recorded.RecordedAnswer | dispatch.Failed:
+    ) -> orders.RecordedAnswer | dispatch.Failed:
         """Dispatch the order and record how it ended."""
         try:
             with self._scope:
@@ -58,7 +58,7 @@
 
     async def _run(
         self, dispatcher: dispatch.Dispatcher
-    ) -> recorded.RecordedAnswer | dispatch.Failed:
+    ) -> orders.RecordedAnswer | dispatch.Failed:
         result = await dispatcher.send(self._request)
         if result.is_error():
             await self._settle_failed(result.error.proof)
@@ -88,7 +88,7 @@
             await self._claim.clear(proof)
 
 
-async def _read(answer: dispatch.Answer) -> recorded.RecordedAnswer:
+async def _read(answer: dispatch.Answer) -> orders.RecordedAnswer:
     try:
         parts = []
         size = 0
@@ -103,4 +103,4 @@
     headers = tuple(
         pair for pair in answer.headers if pair[0] not in _NEVER_RECORDED
     )
-    return recorded.RecordedAnswer(answer.status, headers, b"".join(parts))
+    return orders.RecordedAnswer(answer.status, headers, b"".join(parts))
--- a/src/pomeloward/entry/steps.py
+++ b/src/pomeloward/entry/steps.py
@@ -7,7 +7,7 @@
 
 from pomeloward import catalog
 from pomeloward import model
-from pomeloward.entry import recorded
+from pomeloward import orders
 
 
 class Budget(typing.Protocol):
@@ -23,13 +23,13 @@
     """An order's claim: a recorded answer or a permit to run it."""
 
     @property
-    def answer(self) -> recorded.RecordedAnswer | None:
+    def answer(self) -> orders.RecordedAnswer | None:
         """The answer of an earlier run, None when this one may run."""
 
     def is_valid(self, now_ms: float) -> bool:
         """Tell whether the permit still allows a dispatch."""
 
-    async def finish(self, answer: recorded.RecordedAnswer) -> None:
+    async def finish(self, answer: orders.RecordedAnswer) -> None:
         """Record the answer of the run."""
 
     async def clear(self, proof: model.NotRunProof) -> None:
--- /dev/null
+++ b/src/pomeloward/gateway/assembly.py
@@ -0,0 +1,134 @@
+"""Puts the parts of a host together."""
+
+import random
+import time
+
+import anyio
+import anyio.abc
+
+from pomeloward import catalog
+from pomeloward import dispatch
+from pomeloward import entry
+from pomeloward import model
+from pomeloward import observe
+from pomeloward import settings
+from pomeloward.gateway import condition
+from pomeloward.gateway import foundation as foundations
+from pomeloward.gateway import readyaddresses
+from pomeloward.gateway import shared
+from pomeloward.gateway import targets
+
+
+class Assembly:
+    """The parts of one host upon its foundation.
+
+    It is made inside the running loop; ``run`` runs all of their loops.
+    """
+
+    def __init__(
+        self,
+        host_settings: settings.Settings,
+        foundation: foundations.Foundation,
+        incarnation: model.Incarnation,
+        rng: random.Random,
+    ) -> None:
+        self._settings = host_settings
+        self._foundation = foundation
+        self._rng = rng
+        self.open_work = entry.OpenWork()
+        self.metrics = observe.Metrics()
+        self.journal = observe.Journal()
+        self.condition = condition.Condition(host_settings.host, foundation)
+        self.shared = shared.Shared(
+            host_settings, foundation, incarnation, rng
+        )
+        self._targets = targets.Targets(lambda: foundation.view)
+        limits = host_settings.limits
+        self._links = dispatch.Links(
+            limits.target_idle_ms, host_settings.address
+        )
+        self._dispatcher = dispatch.Dispatcher(
+            self.shared.admission,
+            self.shared.slots,
+            dispatch.Sender(
+                self._targets,
+                self._links,
+                limits.connect_ms,
+                limits.stream_idle_ms,
+            ),
+            self.journal,
+        )
+        logs = host_settings.logs
+        log = observe.Log(logs.request_ratio, logs.refusals_per_s, rng)
+        self.recorder = entry.Recorder(self.metrics, self.journal, log)
+        self.metrics.gauge(
+            "pomeloward_open_requests", lambda: len(self.open_work)
+        )
+        foundation.on_view(self._on_view)
+
+    def application(self) -> entry.Application:
+        """Return the application that serves callers."""
+        limits = self._settings.limits
+        parts = self.shared
+        gatekeeper = entry.Gatekeeper(self.condition, limits)
+        book = readyaddresses.ReadyAddresses(
+            lambda: self._foundation.view,
+            self._foundation.members,
+            self._rng,
+        )
+        return entry.Application(
+            self.condition,
+            entry.Handler(
+                gatekeeper,
+                parts.orders,
+                parts.budget,
+                self._dispatcher,
+                self.open_work,
+                self.recorder,
+                book,
+                limits,
+            ),
+            entry.WebsocketHandler(
+                gatekeeper,
+                parts.budget,
+                parts.admission,
+                self._targets,
+                self.open_work,
+                self.recorder,
+                limits,
+            ),
+            entry.Admin(
+                self.condition, book, parts.orders, self.metrics, self.journal
+            ),
+            self.recorder,
+            limits,
+        )
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run the loops of all parts until cancelled."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(self.shared.run)
+                tasks.start_soon(self.open_work.run)
+                tasks.start_soon(self._dispatcher.run)
+                task_status.started()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._links.aclose()
+
+    def _on_view(self, view: catalog.View) -> None:
+        ended = self.open_work.end_withdrawn(view)
+        if ended:
+            self.recorder.decision(
+                "keys_withdrawn", f"ended {ended} open requests"
+            )
+        self._links.keep_only(self._targets.ids())
+
+
+def new_incarnation() -> model.Incarnation:
+    """Return the number of this start; wall time orders a host's starts."""
+    return model.Incarnation(time.time_ns() // 1_000_000)
--- a/src/pomeloward/gateway/condition.py
+++ b/src/pomeloward/gateway/condition.py
@@ -24,7 +24,7 @@
 
     def has_standing(self, now_ms: float) -> bool:
         """Tell whether the host hears enough of the others."""
-        return self._foundation.has_standing(now_ms)
+        return self._foundation.members.has_standing(now_ms)
 
     def details(self) -> dict[str, typing.Any]:
         """Return facts for the status page."""
--- a/src/pomeloward/gateway/foundation.py
+++ b/src/pomeloward/gateway/foundation.py
@@ -4,6 +4,7 @@
 import typing
 
 from pomeloward import catalog
+from pomeloward import membership
 from pomeloward import model
 from pomeloward import ownership
 from pomeloward import peer
@@ -29,8 +30,9 @@
     def view(self) -> catalog.View:
         """The configuration in force."""
 
-    def has_standing(self, now_ms: float) -> bool:
-        """Tell whether the host hears enough of the others."""
+    @property
+    def members(self) -> membership.Membership:
+        """States of hosts, and this host's standing."""
 
     def on_view(self, callback: OnView) -> None:
         """Register for each configuration that comes in force."""
--- a/src/pomeloward/gateway/localorders.py
+++ b/src/pomeloward/gateway/localorders.py
@@ -6,6 +6,7 @@
 
 from pomeloward import entry
 from pomeloward import model
+from pomeloward import orders
 
 _Key = tuple[model.TeamId, model.RouteId, str]
 
@@ -15,11 +16,11 @@
 
     def __init__(
         self,
-        orders: "LocalOrders",
+        owner: "LocalOrders",
         key: _Key,
-        answer: entry.RecordedAnswer | None = None,
+        answer: orders.RecordedAnswer | None = None,
     ) -> None:
-        self._orders = orders
+        self._owner = owner
         self._key = key
         self.answer = answer
 
@@ -27,13 +28,13 @@
         """Tell whether the permit still allows a dispatch."""
         return True
 
-    async def finish(self, answer: entry.RecordedAnswer) -> None:
+    async def finish(self, answer: orders.RecordedAnswer) -> None:
         """Record the answer of the run."""
-        self._orders.answers[self._key] = answer
+        self._owner.answers[self._key] = answer
 
     async def clear(self, proof: model.NotRunProof) -> None:
         """Give the claim back after a run that did not happen."""
-        del self._orders.digests[self._key]
+        del self._owner.digests[self._key]
 
     async def abandon(self) -> None:
         """Leave the claim with an unknown run."""
@@ -44,7 +45,7 @@
 
     def __init__(self) -> None:
         self.digests: dict[_Key, bytes] = {}
-        self.answers: dict[_Key, entry.RecordedAnswer] = {}
+        self.answers: dict[_Key, orders.RecordedAnswer] = {}
 
     async def claim(
         self,
--- a/src/pomeloward/gateway/shared.py
+++ b/src/pomeloward/gateway/shared.py
@@ -1,19 +1,21 @@
 """The parts that hosts share: rates, slots and the queue in front."""
 
 import random
-import time
 
 import anyio
 import anyio.abc
 
 from pomeloward import budget
 from pomeloward import catalog
+from pomeloward import entry
 from pomeloward import model
 from pomeloward import ownership
 from pomeloward import queue
 from pomeloward import service
 from pomeloward import settings
+from pomeloward.gateway import fleetorders
 from pomeloward.gateway import foundation as foundations
+from pomeloward.gateway import localorders
 
 
 class Shared:
@@ -23,13 +25,12 @@
         self,
         host_settings: settings.Settings,
         foundation: foundations.Foundation,
+        incarnation: model.Incarnation,
         rng: random.Random,
     ) -> None:
         self._foundation = foundation
         host = host_settings.host
         region = model.RegionId(host_settings.region)
-        # Wall time only orders the starts of one host.
-        self.incarnation = model.Incarnation(time.time_ns() // 1_000_000)
         peers = foundation.peers
         owners = foundation.owners
         places = budget.Directory(
@@ -48,7 +49,7 @@
         self.slots = service.ServiceClient(
             host,
             region,
-            self.incarnation,
+            incarnation,
             peers,
             owners,
             ownership.partition_of,
@@ -64,6 +65,14 @@
             self._lending,
             self._controllers,
         ]
+        self._claims: fleetorders.FleetOrders | None = None
+        self.orders: entry.Orders = localorders.LocalOrders()
+        if host_settings.platform_url:
+            self._claims = fleetorders.FleetOrders(
+                host_settings, foundation, rng
+            )
+            self.orders = self._claims.client
+            self.users.append(self._claims.shell)
         foundation.on_view(self._configure)
 
     async def run(
@@ -77,6 +86,8 @@
             await tasks.start(self.budget.run)
             tasks.start_soon(self._controllers.run)
             tasks.start_soon(self.slots.run)
+            if self._claims is not None:
+                await tasks.start(self._claims.run)
             task_status.started()
 
     def _configure(self, view: catalog.View) -> None:
@@ -84,6 +95,8 @@
         self._lending.on_configuration(now)
         self._controllers.configure(view, now)
         self.slots.configure(view)
+        if self._claims is not None:
+            self._claims.shell.on_configuration(now)
 
 
 def now_ms() -> float:
--- a/src/pomeloward/gateway/sole.py
+++ b/src/pomeloward/gateway/sole.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from pomeloward import catalog
+from pomeloward import membership
 from pomeloward import model
 from pomeloward import ownership
 from pomeloward import peer
@@ -14,6 +15,7 @@
 from pomeloward.gateway import cachedview
 from pomeloward.gateway import foundation
 from pomeloward.gateway import nopeers
+from pomeloward.gateway import solemembership
 from pomeloward.gateway import soleownership
 
 
@@ -38,20 +40,18 @@
 class SoleFoundation:
     """A fixed configuration, every partition, and no peers."""
 
-    def __init__(self, host_settings: settings.Settings) -> None:
+    def __init__(
+        self, host_settings: settings.Settings, view: catalog.View
+    ) -> None:
         self.peers: peer.Peers = nopeers.NoPeers(host_settings.host)
-        self.view: catalog.View = cachedview.CachedView(
-            load_configuration(pathlib.Path(host_settings.configuration_file))
-        )
+        self.view: catalog.View = cachedview.CachedView(view)
         self._region = model.RegionId(host_settings.region)
         self._sole = soleownership.SoleOwnership(host_settings.host)
         self.owners: ownership.Ownership = self._sole
+        self._alone = solemembership.SoleMembership(host_settings.host)
+        self.members: membership.Membership = self._alone
         self._callbacks: list[foundation.OnView] = []
 
-    def has_standing(self, now_ms: float) -> bool:
-        """Tell that no other host is needed."""
-        return True
-
     def on_view(self, callback: foundation.OnView) -> None:
         """Register for a replaced configuration."""
         self._callbacks.append(callback)
@@ -75,7 +75,8 @@
         await anyio.sleep_forever()
 
     def set_state(self, state: model.HostState) -> None:
-        """Tell nobody."""
+        """Keep the state for the address answer."""
+        self._alone.state = state
 
     async def hand_over(self) -> None:
         """Keep the partitions, since there is no successor."""
