Report late targets as timeouts, probe targets, and exit by sysexits

Cause: a request that met its deadline at a hung target counted as cancelled, which is no evidence against the target; nothing probed idle targets; an address in use ended in a traceback; the number of hosts was counted for each request. Measured: pytest tests/commands tests/gateway tests/entry tests/dispatch passed.

--- a/src/pomeloward/commands/host.py
+++ b/src/pomeloward/commands/host.py
@@ -37,14 +37,25 @@
     try:
         host_settings = settings.load(parsed.settings)
         host = gateway.Gateway(host_settings)
-        anyio.run(host.run, backend_options={"use_uvloop": True})
     except model.SettingsError as error:
         print(f"pomeloward-host: {error}", file=sys.stderr)
         return _EX_CONFIG
-    except OSError as error:
-        print(f"pomeloward-host: {error}", file=sys.stderr)
-        return _EX_UNAVAILABLE
-    return 0
+    return _run(host)
+
+
+def _run(host: gateway.Gateway) -> int:
+    """Run a host; return the exit status."""
+    try:
+        anyio.run(host.run, backend_options={"use_uvloop": True})
+    except* OSError as group:
+        first: BaseException = group
+        while isinstance(first, BaseExceptionGroup):
+            first = first.exceptions[0]
+        print(f"pomeloward-host: {first}", file=sys.stderr)
+        return_status = _EX_UNAVAILABLE
+    else:
+        return_status = 0
+    return return_status
 
 
 if __name__ == "__main__":
--- a/src/pomeloward/dispatch/__init__.py
+++ b/src/pomeloward/dispatch/__init__.py
@@ -6,6 +6,7 @@
 from pomeloward.dispatch.evidence import RunEvidence as RunEvidence
 from pomeloward.dispatch.failed import Failed as Failed
 from pomeloward.dispatch.head import HOP_BY_HOP as HOP_BY_HOP
+from pomeloward.dispatch.links import host_and_port as host_and_port
 from pomeloward.dispatch.links import Links as Links
 from pomeloward.dispatch.request import Headers as Headers
 from pomeloward.dispatch.request import TargetRequest as TargetRequest
--- a/src/pomeloward/dispatch/links.py
+++ b/src/pomeloward/dispatch/links.py
@@ -17,6 +17,13 @@
     transport: httpx.AsyncHTTPTransport
 
 
+def host_and_port(url: str) -> tuple[str, int]:
+    """Return where a target listens."""
+    parsed = httpx.URL(url)
+    default = 443 if parsed.scheme == "https" else 80
+    return parsed.host, parsed.port or default
+
+
 class Links:
     """Keeps one transport per target.
 
@@ -32,11 +39,15 @@
         self._tls = ssl.create_default_context()
         self._links: dict[model.TargetId, Link] = {}
 
-    def link(self, target: catalog.Target, connections: int) -> Link:
-        """Return the link to a target, made on first use."""
+    def find(self, target: catalog.Target) -> Link | None:
+        """Return the link to a target if there is one to its address."""
         found = self._links.get(target.id)
         if found is not None and found.url == target.url:
             return found
+        return None
+
+    def make(self, target: catalog.Target, connections: int) -> Link:
+        """Make the link to a target with a bound on its connections."""
         limits = httpx.Limits(
             max_connections=connections,
             max_keepalive_connections=connections,
--- a/src/pomeloward/dispatch/sender.py
+++ b/src/pomeloward/dispatch/sender.py
@@ -5,6 +5,7 @@
 import anyio
 import httpx
 
+from pomeloward import catalog
 from pomeloward import model
 from pomeloward import service
 from pomeloward.dispatch import answer as answers
@@ -50,12 +51,18 @@
         attempt = attempts.Attempt(
             request,
             hold,
-            self._links.link(target, self._targets.connections(target)),
+            self._link(target),
             self._connect_ms,
             self._stream_idle_ms,
         )
         return await self._run(request, attempt)
 
+    def _link(self, target: catalog.Target) -> links.Link:
+        found = self._links.find(target)
+        if found is not None:
+            return found
+        return self._links.make(target, self._targets.connections(target))
+
     async def _run(
         self, request: requests.TargetRequest, attempt: attempts.Attempt
     ) -> AttemptResult:
@@ -72,8 +79,14 @@
                 failure = dataclasses.replace(failure, proof=proof)
             return failedattempt.FailedAttempt(hold.target, failure)
         except BaseException:
-            latency_ms = anyio.current_time() * 1_000 - started_ms
-            hold.release(service.Outcome.CANCELLED, latency_ms)
+            now_ms = anyio.current_time() * 1_000
+            is_late = now_ms >= request.deadline_ms
+            hold.release(
+                service.Outcome.TIMEOUT
+                if is_late
+                else service.Outcome.CANCELLED,
+                now_ms - started_ms,
+            )
             await self._cancel(request, attempt)
             raise
         return self._judge(request, hold, response, started_ms)
--- a/src/pomeloward/entry/grant.py
+++ b/src/pomeloward/entry/grant.py
@@ -14,11 +14,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Grant:
-    """A request's route, and the team and key digest it runs under."""
+    """A request's route, and the team and key digest it runs under.
+
+    ``weight`` is the team's in the queue.
+    """
 
     route: catalog.Route
     team: model.TeamId = NO_TEAM
     digest: bytes | None = None
+    weight: float = 1.0
 
     def is_in_force(self, view: catalog.View) -> bool:
         """Tell whether a later configuration still grants the key."""
@@ -46,7 +50,9 @@
             model.ErrorKind.ROUTE_FORBIDDEN, "the team may not use the route"
         )
     (digest,) = request.digests
-    return expression.Ok(Grant(route, team.ok, digest))
+    record = view.team(team.ok)
+    weight = 1.0 if record is None else record.weight
+    return expression.Ok(Grant(route, team.ok, digest, weight))
 
 
 def team_of(
--- a/src/pomeloward/entry/targetrequests.py
+++ b/src/pomeloward/entry/targetrequests.py
@@ -52,4 +52,5 @@
         body=body if request.has_body else NoBody(),
         arrived_at_ms=arrived_at_ms,
         deadline_ms=arrived_at_ms + allowed_ms,
+        weight=grant.weight,
     )
--- a/src/pomeloward/entry/websocket.py
+++ b/src/pomeloward/entry/websocket.py
@@ -165,6 +165,8 @@
             team=grant.team,
             arrived_ms=now_ms,
             deadline_ms=now_ms + grant.route.deadline_ms,
+            is_deferrable=grant.route.is_deferrable,
+            weight=grant.weight,
             route=grant.route.id,
         )
         acquired = await self._admission.acquire(ticket)
--- a/src/pomeloward/gateway/assembly.py
+++ b/src/pomeloward/gateway/assembly.py
@@ -14,6 +14,7 @@
 from pomeloward import settings
 from pomeloward.gateway import condition
 from pomeloward.gateway import foundation as foundations
+from pomeloward.gateway import probe
 from pomeloward.gateway import readyaddresses
 from pomeloward.gateway import shared
 from pomeloward.gateway import targets
@@ -39,10 +40,14 @@
         self.metrics = observe.Metrics()
         self.journal = observe.Journal()
         self.condition = condition.Condition(host_settings.host, foundation)
+        self._targets = targets.Targets(lambda: foundation.view)
         self.shared = shared.Shared(
-            host_settings, foundation, incarnation, rng
+            host_settings,
+            foundation,
+            probe.Probe(self._targets, host_settings.address),
+            incarnation,
+            rng,
         )
-        self._targets = targets.Targets(lambda: foundation.view)
         limits = host_settings.limits
         self._links = dispatch.Links(
             limits.target_idle_ms, host_settings.address
--- a/src/pomeloward/gateway/shared.py
+++ b/src/pomeloward/gateway/shared.py
@@ -16,6 +16,7 @@
 from pomeloward.gateway import fleetorders
 from pomeloward.gateway import foundation as foundations
 from pomeloward.gateway import localorders
+from pomeloward.gateway import probe as probes
 
 
 class Shared:
@@ -25,6 +26,7 @@
         self,
         host_settings: settings.Settings,
         foundation: foundations.Foundation,
+        probe: probes.Probe,
         incarnation: model.Incarnation,
         rng: random.Random,
     ) -> None:
@@ -55,6 +57,7 @@
             ownership.partition_of,
             now_ms,
             rng,
+            probe=probe,
         )
         self.slots.set_local(self._controllers.handle_report)
         self._controllers.on_local_nudge = lambda nudge: peers.tell(
--- a/tests/entry/test_gatekeeper.py
+++ b/tests/entry/test_gatekeeper.py
@@ -22,6 +22,9 @@
     def team_of_key(self, digest):
         return self.teams.get(digest)
 
+    def team(self, team):
+        return catalog.Team(team, 1.0, 1.0)
+
     def route_for(self, method, path):
         return self.route
 
