Say unknown when ended work may have run

Cause: a body that grew too large while it was streamed, or work ended for lost standing, was answered not run although the target had got a part. Change: the evidence of the attempts belongs to the open work, and a refusal of ended work says unknown unless no attempt can have run. An answer below 200 is no answer. Order steps, websocket calls and their targets have files of their own.

--- a/src/pomeloward/dispatch/failure.py
+++ b/src/pomeloward/dispatch/failure.py
@@ -76,7 +76,7 @@
                 "503 with Run-State: not_run",
             ),
         )
-    if status >= 500:
+    if status >= 500 or status < 200:
         return Failure(
             service.Outcome.ERROR,
             model.Refusal(
--- a/src/pomeloward/dispatch/sender.py
+++ b/src/pomeloward/dispatch/sender.py
@@ -120,6 +120,8 @@
         if failure is None:
             failure = _no_length()
             answer.is_unusable = True
+        # A switch of protocols that nobody asked for is no answer.
+        answer.is_unusable |= response.status_code < 200
         if failure.proof is not None:
             request.evidence.prove_not_run(failure.proof)
         answer.outcome = failure.outcome
--- a/src/pomeloward/entry/__init__.py
+++ b/src/pomeloward/entry/__init__.py
@@ -5,6 +5,7 @@
 from pomeloward.entry.gatekeeper import Gatekeeper as Gatekeeper
 from pomeloward.entry.handler import Handler as Handler
 from pomeloward.entry.openwork import OpenWork as OpenWork
+from pomeloward.entry.orderhandler import OrderHandler as OrderHandler
 from pomeloward.entry.recorder import Recorder as Recorder
 from pomeloward.entry.server import serve as serve
 from pomeloward.entry.steps import AddressAnswer as AddressAnswer
@@ -14,3 +15,6 @@
 from pomeloward.entry.steps import HostStatus as HostStatus
 from pomeloward.entry.steps import Orders as Orders
 from pomeloward.entry.websocket import WebsocketHandler as WebsocketHandler
+from pomeloward.entry.websockettargets import (
+    WebsocketTargets as WebsocketTargets,
+)
--- a/src/pomeloward/entry/application.py
+++ b/src/pomeloward/entry/application.py
@@ -16,6 +16,7 @@
 from pomeloward.entry import serverconnection
 from pomeloward.entry import steps
 from pomeloward.entry import websocket
+from pomeloward.entry import websocketcall
 
 # 64 random bits: an id is also what its explanation is asked for by.
 _REQUEST_ID_BYTES = 8
@@ -105,7 +106,7 @@
     ) -> None:
         now_ms = anyio.current_time() * 1_000
         request_id = _request_id()
-        call = websocket.WebsocketCall(request_id, receive, send)
+        call = websocketcall.WebsocketCall(request_id, receive, send)
         try:
             inspected = inspection.inspect(
                 scope, request_id, self._limits, self._is_key
--- a/src/pomeloward/entry/exchange.py
+++ b/src/pomeloward/entry/exchange.py
@@ -92,15 +92,22 @@
         )
 
     async def refuse(
-        self, refusal: model.Refusal, headers: separation.Headers | None = None
+        self,
+        refusal: model.Refusal,
+        headers: separation.Headers | None = None,
+        may_have_run: bool = False,
     ) -> None:
-        """Send a refusal as JSON with its run state."""
-        body = refusal_body(refusal, self.request)
+        """Send a refusal as JSON with its run state.
+
+        ``may_have_run`` makes the run state ``unknown`` whatever the kind.
+        """
+        run = model.RunState.UNKNOWN if may_have_run else refusal.run
+        body = refusal_body(refusal, self.request, run)
         await self._whole(
             refusal.rule.status,
             [
                 (b"content-type", b"application/json"),
-                *refusal_headers(refusal),
+                *refusal_headers(refusal, run),
                 *(headers or []),
             ],
             body,
@@ -143,21 +150,25 @@
                 return
 
 
-def refusal_body(refusal: model.Refusal, request: model.RequestId) -> bytes:
+def refusal_body(
+    refusal: model.Refusal, request: model.RequestId, run: model.RunState
+) -> bytes:
     """Return the JSON of a refusal."""
     return msgspec.json.encode(
         {
             "kind": refusal.kind.value,
-            "run": refusal.run.value,
+            "run": run.value,
             "request_id": request,
             "detail": refusal.detail,
         }
     )
 
 
-def refusal_headers(refusal: model.Refusal) -> separation.Headers:
+def refusal_headers(
+    refusal: model.Refusal, run: model.RunState
+) -> separation.Headers:
     """Return the headers that go with every refusal."""
-    headers = [(b"pomeloward-run", refusal.run.value.encode("ascii"))]
+    headers = [(b"pomeloward-run", run.value.encode("ascii"))]
     if refusal.rule.is_retryable:
         # The header has whole seconds; less than one becomes one.
         wait_s = max(1, math.ceil(refusal.retry_after_ms / 1_000))
--- a/src/pomeloward/entry/handler.py
+++ b/src/pomeloward/entry/handler.py
@@ -1,7 +1,6 @@
 """Runs one HTTP request through the steps of a host."""
 
 import anyio
-import expression
 
 from pomeloward import dispatch
 from pomeloward import model
@@ -13,7 +12,7 @@
 from pomeloward.entry import gatekeeper as gatekeepers
 from pomeloward.entry import grant as grants
 from pomeloward.entry import openwork
-from pomeloward.entry import orderpath
+from pomeloward.entry import orderhandler
 from pomeloward.entry import recorder as recorders
 from pomeloward.entry import steps
 from pomeloward.entry import targetrequests
@@ -39,7 +38,7 @@
     def __init__(
         self,
         gatekeeper: gatekeepers.Gatekeeper,
-        orders: steps.Orders,
+        orders: orderhandler.OrderHandler,
         budget: steps.Budget,
         dispatcher: dispatch.Dispatcher,
         open_work: openwork.OpenWork,
@@ -96,7 +95,7 @@
         with anyio.CancelScope() as scope:
             work = self._open_work.add(request.id, grant, scope, watch)
             try:
-                await self._run(request, grant, body, exchange, now_ms)
+                await self._run(request, work, body, exchange, now_ms)
             except bodies.CallerGone:
                 work.end(model.ErrorKind.CALLER_GONE)
             except bodies.BodyTooLarge as error:
@@ -114,16 +113,19 @@
     async def _run(
         self,
         request: callerrequest.CallerRequest,
-        grant: grants.Grant,
+        work: openwork.Work,
         body: bodies.RequestBody,
         exchange: exchanges.Exchange,
         now_ms: float,
     ) -> None:
+        grant = work.grant
         if request.has_body and request.content_length is None:
             # Only now is it known whether an HTTP/2 request has a body.
             await body.read_if_at_hand()
             request.has_body = not body.is_empty
-        outgoing = targetrequests.build(request, grant, body, now_ms)
+        outgoing = targetrequests.build(
+            request, grant, body, now_ms, work.evidence
+        )
         if not grant.route.is_idempotent:
             await self._run_order(request, outgoing, body, exchange)
             return
@@ -153,72 +155,20 @@
         body: bodies.RequestBody,
         exchange: exchanges.Exchange,
     ) -> None:
-        if request.order_key is None:
-            refusal = model.Refusal(
-                model.ErrorKind.ORDER_KEY_MISSING,
-                "the route needs an Idempotency-Key",
-            )
-            await self._refuse(exchange, refusal, outgoing.team)
-            return
-        data = await body.read_whole(self._limits.order_body_bytes)
-        digest = orderpath.digest(request.method, request.target_path, data)
-        claimed = await self._claim(outgoing, request.order_key, digest)
-        if claimed.is_error():
-            await self._refuse(exchange, claimed.error, outgoing.team)
+        result = await self._orders.run(request, outgoing, body)
+        if result.is_error():
+            await self._refuse(exchange, result.error, outgoing.team)
             return
-        answer = claimed.ok.answer
-        if answer is None:
-            run = orderpath.OrderRun(claimed.ok, outgoing)
-            too_much = await self._take_rate_of_order(claimed.ok, outgoing)
-            if too_much is not None:
-                await self._refuse(exchange, too_much, outgoing.team)
-                return
-            ended = await run.run(self._dispatcher)
-            if isinstance(ended, dispatch.Failed):
-                await self._refuse(exchange, ended.refusal, outgoing.team)
-                return
-            answer = ended
+        answer = result.ok
         await exchange.start(answer.status, list(answer.headers))
         await exchange.finish(answer.body)
 
-    async def _claim(
-        self, outgoing: dispatch.TargetRequest, key: str, digest: bytes
-    ) -> expression.Result[steps.Claim, model.Refusal]:
-        """Claim an order while its deadline allows."""
-        with anyio.CancelScope(deadline=outgoing.deadline_ms / 1_000):
-            return await self._orders.claim(
-                outgoing.team, outgoing.route.id, key, digest
-            )
-        return expression.Error(
-            model.Refusal(
-                model.ErrorKind.ORDER_OWNER_UNAVAILABLE,
-                "the order could not be claimed before its deadline",
-                retry_after_ms=1_000,
-            )
-        )
-
     async def _take_rate(self, team: model.TeamId) -> model.Refusal | None:
         if team == grants.NO_TEAM:
             return None
         taken = await self._budget.take(team)
         return taken.error if taken.is_error() else None
 
-    async def _take_rate_of_order(
-        self, claim: steps.Claim, outgoing: dispatch.TargetRequest
-    ) -> model.Refusal | None:
-        """Take a token under a claim; the claim never outlives a refusal."""
-        refusal: model.Refusal | None = None
-        is_taken = False
-        try:
-            refusal = await self._take_rate(outgoing.team)
-            is_taken = refusal is None
-        finally:
-            proof = outgoing.evidence.proof
-            if not is_taken and proof is not None:
-                with anyio.move_on_after(1.0, shield=True):
-                    await claim.clear(proof)
-        return refusal
-
     async def _refuse(
         self,
         exchange: exchanges.Exchange,
@@ -246,7 +196,10 @@
         if exchange.is_started:
             await exchange.abort()
         elif work.ended_by is not model.ErrorKind.CALLER_GONE:
-            await exchange.refuse(refusal)
+            # A refusal that another one would call `not run` may come after
+            # the request was sent.
+            may_have_run = work.evidence.proof is None
+            await exchange.refuse(refusal, may_have_run=may_have_run)
 
 
 async def _watch(
--- a/src/pomeloward/entry/openwork.py
+++ b/src/pomeloward/entry/openwork.py
@@ -6,6 +6,7 @@
 import anyio
 
 from pomeloward import catalog
+from pomeloward import dispatch
 from pomeloward import model
 from pomeloward.entry import grant as grants
 
@@ -21,12 +22,16 @@
     """One open piece of work and how to end it.
 
     ``watch`` waits until the caller leaves, and then ends the work.
+    ``evidence`` tells whether the work may have run on a target.
     """
 
     request: model.RequestId
     grant: grants.Grant
     scope: anyio.CancelScope
     watch: Watch | None = None
+    evidence: dispatch.RunEvidence = dataclasses.field(
+        default_factory=dispatch.RunEvidence
+    )
     ended_by: model.ErrorKind | None = None
     watch_scope: anyio.CancelScope | None = None
 
--- a/src/pomeloward/entry/targetrequests.py
+++ b/src/pomeloward/entry/targetrequests.py
@@ -29,6 +29,7 @@
     grant: grants.Grant,
     body: bodies.RequestBody,
     arrived_at_ms: float,
+    evidence: dispatch.RunEvidence,
 ) -> dispatch.TargetRequest:
     """Return the request to dispatch, with this host's own headers."""
     headers = [
@@ -53,4 +54,5 @@
         arrived_at_ms=arrived_at_ms,
         deadline_ms=arrived_at_ms + allowed_ms,
         weight=grant.weight,
+        evidence=evidence,
     )
--- a/src/pomeloward/entry/websocket.py
+++ b/src/pomeloward/entry/websocket.py
@@ -1,7 +1,6 @@
 """Proxies a caller's websocket to a target."""
 
 import collections.abc
-import typing
 
 import anyio
 import websockets
@@ -10,86 +9,20 @@
 from pomeloward import dispatch
 from pomeloward import model
 from pomeloward import queue
-from pomeloward import service
 from pomeloward import settings
 from pomeloward.entry import callerrequest
-from pomeloward.entry import exchange as exchanges
 from pomeloward.entry import gatekeeper as gatekeepers
 from pomeloward.entry import grant as grants
 from pomeloward.entry import openwork
 from pomeloward.entry import recorder as recorders
 from pomeloward.entry import steps
+from pomeloward.entry import websocketcall
+from pomeloward.entry import websockettargets
 
 # Close codes of RFC 6455, section 7.4.
 _GOING_AWAY = 1001
 _POLICY = 1008
 _INTERNAL = 1011
-# Codes that stand for a missing code or a lost connection are not sent.
-_NOT_SENT = frozenset({1005, 1006, 1015})
-_HANDSHAKE_PREFIX = b"sec-websocket-"
-_QUEUED_MESSAGES = 8
-
-
-class WebsocketCall:
-    """The caller's side of one websocket over ASGI."""
-
-    def __init__(
-        self,
-        request: model.RequestId,
-        receive: exchanges.Receive,
-        send: exchanges.Send,
-    ) -> None:
-        self.request = request
-        self.receive = receive
-        self.status = 0
-        self._send = send
-        self._is_closed = False
-
-    async def accept(self, subprotocol: str | None) -> None:
-        """Accept the caller's handshake."""
-        self.status = 101
-        await self._send(
-            {
-                "type": "websocket.accept",
-                "subprotocol": subprotocol,
-                "headers": [
-                    (b"pomeloward-request-id", self.request.encode("ascii"))
-                ],
-            }
-        )
-
-    async def message(self, data: str | bytes) -> None:
-        """Send a message to the caller."""
-        field = "text" if isinstance(data, str) else "bytes"
-        await self._send({"type": "websocket.send", field: data})
-
-    async def close(self, code: int) -> None:
-        """Close an accepted websocket; later calls do nothing."""
-        if self._is_closed:
-            return
-        self._is_closed = True
-        sent = _INTERNAL if code in _NOT_SENT else code
-        await self._send({"type": "websocket.close", "code": sent})
-
-    async def refuse(self, refusal: model.Refusal) -> None:
-        """Answer the handshake with a refusal."""
-        self.status = refusal.rule.status
-        self._is_closed = True
-        body = exchanges.refusal_body(refusal, self.request)
-        await self._send(
-            {
-                "type": "websocket.http.response.start",
-                "status": self.status,
-                "headers": [
-                    (b"content-type", b"application/json"),
-                    (b"content-length", b"%d" % len(body)),
-                    *exchanges.refusal_headers(refusal),
-                ],
-            }
-        )
-        await self._send(
-            {"type": "websocket.http.response.body", "body": body}
-        )
 
 
 class WebsocketHandler:
@@ -104,7 +37,7 @@
         gatekeeper: gatekeepers.Gatekeeper,
         budget: steps.Budget,
         admission: dispatch.Admission,
-        targets: dispatch.Targets,
+        targets: websockettargets.WebsocketTargets,
         open_work: openwork.OpenWork,
         recorder: recorders.Recorder,
         limits: settings.Limits,
@@ -120,7 +53,7 @@
     async def handle(
         self,
         request: callerrequest.CallerRequest,
-        call: WebsocketCall,
+        call: websocketcall.WebsocketCall,
         subprotocols: collections.abc.Sequence[str],
         now_ms: float,
     ) -> None:
@@ -145,13 +78,13 @@
         if call.status == 101:
             await call.close(_POLICY)
         else:
-            await call.refuse(refusal)
+            await call.refuse(refusal, may_have_run=True)
 
     async def _run(
         self,
         request: callerrequest.CallerRequest,
         grant: grants.Grant,
-        call: WebsocketCall,
+        call: websocketcall.WebsocketCall,
         subprotocols: collections.abc.Sequence[str],
         now_ms: float,
     ) -> None:
@@ -173,7 +106,7 @@
         if acquired.is_error():
             await self._refuse(call, acquired.error)
             return
-        connection = await self._connect(
+        connection = await self._targets.connect(
             request, grant, acquired.ok, subprotocols
         )
         if connection is None:
@@ -193,76 +126,15 @@
             with anyio.move_on_after(1.0, shield=True):
                 await connection.close(_GOING_AWAY)
 
-    async def _connect(
-        self,
-        request: callerrequest.CallerRequest,
-        grant: grants.Grant,
-        hold: dispatch.SlotHold,
-        subprotocols: collections.abc.Sequence[str],
-    ) -> client.ClientConnection | None:
-        """Open the websocket to the target; None when it fails."""
-        outcome = service.Outcome.CANCELLED
-        started_s = anyio.current_time()
-        try:
-            target = self._targets.target(hold.target)
-            if target is None or not hold.is_valid(started_s * 1_000):
-                return None
-            connection = await self._open(
-                target.url, request, grant, subprotocols
-            )
-            outcome = service.Outcome.OK
-            return connection
-        except (OSError, websockets.WebSocketException) as error:
-            outcome = (
-                service.Outcome.CONNECT_FAILED
-                if isinstance(error, OSError)
-                else service.Outcome.ERROR
-            )
-            return None
-        finally:
-            latency_ms = (anyio.current_time() - started_s) * 1_000
-            hold.release(outcome, latency_ms)
-
-    async def _open(
-        self,
-        url: str,
-        request: callerrequest.CallerRequest,
-        grant: grants.Grant,
-        subprotocols: collections.abc.Sequence[str],
-    ) -> client.ClientConnection:
-        headers = [
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in request.headers
-            if not name.startswith(_HANDSHAKE_PREFIX) and name != b"host"
-        ]
-        headers.append(("pomeloward-request-id", request.id))
-        if grant.team:
-            headers.append(("pomeloward-team", grant.team))
-        path = request.target_path.decode("ascii")
-        return await client.connect(
-            "ws" + url.removeprefix("http").rstrip("/") + path,
-            additional_headers=headers,
-            subprotocols=typing.cast(
-                "list[websockets.Subprotocol]", list(subprotocols)
-            )
-            or None,
-            compression=None,
-            user_agent_header=None,
-            proxy=None,
-            open_timeout=grant.route.deadline_ms / 1_000,
-            max_size=self._limits.websocket_message_bytes,
-            max_queue=_QUEUED_MESSAGES,
-        )
-
     async def _refuse(
-        self, call: WebsocketCall, refusal: model.Refusal
+        self, call: websocketcall.WebsocketCall, refusal: model.Refusal
     ) -> None:
         self._recorder.refused(refusal, call.request)
         await call.refuse(refusal)
 
 
 async def _pump(
-    call: WebsocketCall, connection: client.ClientConnection
+    call: websocketcall.WebsocketCall, connection: client.ClientConnection
 ) -> None:
     """Pass messages both ways until one side closes."""
 
--- a/src/pomeloward/gateway/assembly.py
+++ b/src/pomeloward/gateway/assembly.py
@@ -85,7 +85,9 @@
             self.condition,
             entry.Handler(
                 gatekeeper,
-                parts.orders,
+                entry.OrderHandler(
+                    parts.orders, parts.budget, self._dispatcher, limits
+                ),
                 parts.budget,
                 self._dispatcher,
                 self.open_work,
@@ -97,7 +99,7 @@
                 gatekeeper,
                 parts.budget,
                 parts.admission,
-                self._targets,
+                entry.WebsocketTargets(self._targets, limits),
                 self.open_work,
                 self.recorder,
                 limits,
--- a/tests/entry/test_answers.py
+++ b/tests/entry/test_answers.py
@@ -226,6 +226,8 @@
             host.url + "/read", headers=_HEADERS, content=upload(600)
         )
         assert large.status_code == 413
+        # A part of it had been sent when its size showed.
+        assert large.json()["run"] == "unknown"
         declared = await caller.put(
             host.url + "/read", headers=_HEADERS, content=b"x" * 600_000
         )
