Close unused pools and look up targets by service

Cause: a change of the configuration looked at every target, a pool that no request used kept connections that its target had closed, and the first request of a host waited 0.1 s for the import of httpcore.

--- a/src/pomeloward/dispatch/answer.py
+++ b/src/pomeloward/dispatch/answer.py
@@ -7,6 +7,7 @@
 
 from pomeloward import model
 from pomeloward import service
+from pomeloward.dispatch import link as links
 from pomeloward.dispatch import request as requests
 from pomeloward.dispatch import steps
 
@@ -33,6 +34,7 @@
         hold: steps.SlotHold,
         latency_ms: float,
         headers: requests.Headers,
+        link: links.Link,
     ) -> None:
         self.status = response.status_code
         self.headers = headers
@@ -42,6 +44,7 @@
         self.is_unusable = False
         self._response = response
         self._hold = hold
+        self._link = link
         self._is_released = False
 
     async def chunks(self) -> collections.abc.AsyncIterator[bytes]:
@@ -87,4 +90,5 @@
     def _release(self, outcome: service.Outcome) -> None:
         if not self._is_released:
             self._is_released = True
+            self._link.leave(anyio.current_time() * 1_000)
             self._hold.release(outcome, self.latency_ms)
--- a/src/pomeloward/dispatch/attempt.py
+++ b/src/pomeloward/dispatch/attempt.py
@@ -7,7 +7,7 @@
 import httpx
 
 from pomeloward.dispatch import failure as failures
-from pomeloward.dispatch import links
+from pomeloward.dispatch import link as links
 from pomeloward.dispatch import outgoing
 from pomeloward.dispatch import request as requests
 from pomeloward.dispatch import steps
--- a/src/pomeloward/dispatch/cancellation.py
+++ b/src/pomeloward/dispatch/cancellation.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from pomeloward import model
-from pomeloward.dispatch import links
+from pomeloward.dispatch import link as links
 
 # Part of the targets' published contract: the request is cancelled by its
 # id, and the answer tells whether it had started.
--- a/src/pomeloward/dispatch/links.py
+++ b/src/pomeloward/dispatch/links.py
@@ -1,27 +1,18 @@
 """Connections to targets, one pool per target."""
 
 import ssl
-import typing
 
+import anyio
 import httpx
 
 from pomeloward import catalog
 from pomeloward import model
+from pomeloward.dispatch import link as links
 
-
-class Link(typing.NamedTuple):
-    """A target's pool of connections and its parsed address."""
-
-    url: str
-    base: httpx.URL
-    transport: httpx.AsyncHTTPTransport
-
-
-def host_and_port(url: str) -> tuple[str, int]:
-    """Return where a target listens."""
-    parsed = httpx.URL(url)
-    default = 443 if parsed.scheme == "https" else 80
-    return parsed.host, parsed.port or default
+# A pool closes idle connections only when it is asked for one. An unused
+# pool would keep connections that its target has long closed.
+_IDLE_MS = 30_000.0
+_SWEEP_S = 10.0
 
 
 class Links:
@@ -37,46 +28,76 @@
         self._address = address
         self._target_idle_s = target_idle_ms / 1_000
         self._tls = ssl.create_default_context()
-        self._links: dict[model.TargetId, Link] = {}
+        # The first transport imports httpcore, which takes 0.1 s; better
+        # here than in the first request.
+        httpx.AsyncHTTPTransport(verify=self._tls, trust_env=False)
+        self._links: dict[model.TargetId, links.Link] = {}
+        # Pools to former addresses of targets.
+        self._former: list[links.Link] = []
+
+    def __len__(self) -> int:
+        return len(self._links)
 
-    def find(self, target: catalog.Target) -> Link | None:
+    def find(self, target: catalog.Target) -> links.Link | None:
         """Return the link to a target if there is one to its address."""
         found = self._links.get(target.id)
         if found is not None and found.url == target.url:
             return found
         return None
 
-    def make(self, target: catalog.Target, connections: int) -> Link:
+    def make(
+        self, target: catalog.Target, connections: int, now_ms: float
+    ) -> links.Link:
         """Make the link to a target with a bound on its connections."""
         limits = httpx.Limits(
             max_connections=connections,
             max_keepalive_connections=connections,
             keepalive_expiry=self._target_idle_s,
         )
-        made = Link(
-            target.url,
-            httpx.URL(target.url),
-            httpx.AsyncHTTPTransport(
-                verify=self._tls,
-                trust_env=False,
-                limits=limits,
-                local_address=self._address,
-            ),
+        transport = httpx.AsyncHTTPTransport(
+            verify=self._tls,
+            trust_env=False,
+            limits=limits,
+            local_address=self._address,
         )
+        made = links.Link(target.url, transport, now_ms)
+        former = self._links.get(target.id)
+        if former is not None:
+            self._former.append(former)
         self._links[target.id] = made
         return made
 
-    def keep_only(self, targets: set[model.TargetId]) -> None:
-        """Forget targets that are gone.
-
-        Open answers hold their connection by themselves, so that a pool is
-        only dropped here and never closed under them.
-        """
-        for target in self._links.keys() - targets:
+    async def run(self) -> None:
+        """Close the pools of targets that are not used, until cancelled."""
+        while True:
+            await anyio.sleep(_SWEEP_S)
+            await self.sweep(anyio.current_time() * 1_000)
+
+    async def sweep(self, now_ms: float) -> None:
+        """Close pools that are idle; a target's open work keeps its pool."""
+        idle = [
+            (target, link)
+            for target, link in self._links.items()
+            if link.is_idle(now_ms, _IDLE_MS)
+        ]
+        for target, _ in idle:
             del self._links[target]
+        closing = [link for _, link in idle]
+        closing += [one for one in self._former if one.open_count == 0]
+        self._former = [one for one in self._former if one.open_count]
+        for link in closing:
+            await link.transport.aclose()
 
     async def aclose(self) -> None:
         """Close all connections."""
-        for link in self._links.values():
+        for link in (*self._links.values(), *self._former):
             await link.transport.aclose()
         self._links.clear()
+        self._former.clear()
+
+
+def host_and_port(url: str) -> tuple[str, int]:
+    """Return where a target listens."""
+    parsed = httpx.URL(url)
+    default = 443 if parsed.scheme == "https" else 80
+    return parsed.host, parsed.port or default
--- a/src/pomeloward/dispatch/sender.py
+++ b/src/pomeloward/dispatch/sender.py
@@ -14,6 +14,7 @@
 from pomeloward.dispatch import failedattempt
 from pomeloward.dispatch import failure as failures
 from pomeloward.dispatch import head
+from pomeloward.dispatch import link
 from pomeloward.dispatch import links
 from pomeloward.dispatch import request as requests
 from pomeloward.dispatch import steps
@@ -44,7 +45,7 @@
         self, request: requests.TargetRequest, hold: steps.SlotHold
     ) -> AttemptResult:
         """Send a request under a slot; the slot is always given back."""
-        target = self._targets.target(hold.target)
+        target = self._targets.target(request.route.service, hold.target)
         if target is None:
             hold.release(service.Outcome.CANCELLED, 0.0)
             return failedattempt.FailedAttempt(hold.target, _gone(hold.target))
@@ -57,29 +58,36 @@
         )
         return await self._run(request, attempt)
 
-    def _link(self, target: catalog.Target) -> links.Link:
+    def _link(self, target: catalog.Target) -> link.Link:
         found = self._links.find(target)
         if found is not None:
             return found
-        return self._links.make(target, self._targets.connections(target))
+        return self._links.make(
+            target,
+            self._targets.connections(target),
+            anyio.current_time() * 1_000,
+        )
 
     async def _run(
         self, request: requests.TargetRequest, attempt: attempts.Attempt
     ) -> AttemptResult:
         hold = attempt.hold
         started_ms = anyio.current_time() * 1_000
+        attempt.link.enter(started_ms)
         try:
             response = await attempt.run()
         except (httpx.HTTPError, failures.PermissionLapsed) as error:
             failure = failures.classify_error(error, attempt.is_sent)
             latency_ms = anyio.current_time() * 1_000 - started_ms
             hold.release(failure.outcome, latency_ms)
+            attempt.link.leave(started_ms + latency_ms)
             proof = await self._cancel(request, attempt)
             if proof is not None:
                 failure = dataclasses.replace(failure, proof=proof)
             return failedattempt.FailedAttempt(hold.target, failure)
         except BaseException:
             now_ms = anyio.current_time() * 1_000
+            attempt.link.leave(now_ms)
             is_late = now_ms >= request.deadline_ms
             hold.release(
                 service.Outcome.TIMEOUT
@@ -89,7 +97,7 @@
             )
             await self._cancel(request, attempt)
             raise
-        return self._judge(request, hold, response, started_ms)
+        return self._judge(request, attempt, response, started_ms)
 
     async def _cancel(
         self, request: requests.TargetRequest, attempt: attempts.Attempt
@@ -105,13 +113,17 @@
     def _judge(
         self,
         request: requests.TargetRequest,
-        hold: steps.SlotHold,
+        attempt: attempts.Attempt,
         response: httpx.Response,
         started_ms: float,
     ) -> AttemptResult:
         latency_ms = anyio.current_time() * 1_000 - started_ms
         answer = answers.Answer(
-            response, hold, latency_ms, head.clean(response.headers.raw)
+            response,
+            attempt.hold,
+            latency_ms,
+            head.clean(response.headers.raw),
+            attempt.link,
         )
         run_state = response.headers.get(failures.RUN_STATE_HEADER)
         failure = failures.classify_status(response.status_code, run_state)
@@ -125,7 +137,7 @@
         if failure.proof is not None:
             request.evidence.prove_not_run(failure.proof)
         answer.outcome = failure.outcome
-        return failedattempt.FailedAttempt(hold.target, failure, answer)
+        return failedattempt.FailedAttempt(answer.target, failure, answer)
 
 
 def _gone(target: model.TargetId) -> failures.Failure:
--- a/src/pomeloward/dispatch/steps.py
+++ b/src/pomeloward/dispatch/steps.py
@@ -50,8 +50,13 @@
 class Targets(typing.Protocol):
     """Where targets are reached."""
 
-    def target(self, target: model.TargetId) -> catalog.Target | None:
-        """Return a target's record, None when it is gone."""
+    def target(
+        self, service: model.ServiceId, target: model.TargetId
+    ) -> catalog.Target | None:
+        """Return the record of a service's target, None when it is gone."""
+
+    def find(self, target: model.TargetId) -> catalog.Target | None:
+        """Return a target's record by its id alone, which takes longer."""
 
     def count(self, service: model.ServiceId) -> int:
         """Return the number of targets of a service."""
--- a/src/pomeloward/entry/websockettargets.py
+++ b/src/pomeloward/entry/websockettargets.py
@@ -37,7 +37,7 @@
         outcome = service.Outcome.CANCELLED
         started_s = anyio.current_time()
         try:
-            target = self._targets.target(hold.target)
+            target = self._targets.target(grant.route.service, hold.target)
             if target is None or not hold.is_valid(started_s * 1_000):
                 return None
             connection = await self._open(
--- a/src/pomeloward/gateway/assembly.py
+++ b/src/pomeloward/gateway/assembly.py
@@ -122,6 +122,7 @@
                 await tasks.start(self.shared.run)
                 tasks.start_soon(self.open_work.run)
                 tasks.start_soon(self._dispatcher.run)
+                tasks.start_soon(self._links.run)
                 task_status.started()
         finally:
             with anyio.CancelScope(shield=True):
@@ -133,7 +134,6 @@
             self.recorder.decision(
                 "keys_withdrawn", f"ended {ended} open requests"
             )
-        self._links.keep_only(self._targets.ids())
 
 
 def new_incarnation() -> model.Incarnation:
--- a/src/pomeloward/gateway/probe.py
+++ b/src/pomeloward/gateway/probe.py
@@ -18,7 +18,7 @@
 
     async def __call__(self, target: model.TargetId) -> bool:
         """Tell whether a target accepts a connection."""
-        record = self._targets.target(target)
+        record = self._targets.find(target)
         if record is None:
             return False
         host, port = dispatch.host_and_port(record.url)
