Probe before a candidacy and undo unused votes

Cause: a candidate that was cut off from a living owner, or restarted, granted itself an epoch above the owner's. Its vote was then lost to the owner for good, and it stood again and again. The test of the return of partitions after 30 s found it: the host had used up 10 epochs and the state of the hand-over was not proven.

Change: candidates first ask without effect whether a majority would grant (pre-vote). A candidate that gives up releases its votes as unused, and the voters return to the vote before. An owner that a voter refuses for its epoch hands over to itself for a new one.

--- a/src/pomeloward/ownership/campaign.py
+++ b/src/pomeloward/ownership/campaign.py
@@ -57,7 +57,11 @@
                 self.stand_for(number, land, now_ms)
 
     def stand_for(
-        self, number: int, land: territory.Territory, now_ms: float
+        self,
+        number: int,
+        land: territory.Territory,
+        now_ms: float,
+        is_probing: bool = True,
     ) -> None:
         """Stand for one partition now."""
         known = self._table.get(number)
@@ -67,7 +71,7 @@
             self._voter.highest_epoch(number),
         )
         electorate = land.electorate(number)
-        self._holder.stand(number, lowest, electorate, now_ms)
+        self._holder.stand(number, lowest, electorate, now_ms, is_probing)
         self.has_new = True
 
     def failed(
--- a/src/pomeloward/ownership/canvass.py
+++ b/src/pomeloward/ownership/canvass.py
@@ -75,7 +75,7 @@
     ) -> None:
         """Give the votes of a failed candidacy back."""
         for voter in voters:
-            self._peers.tell(voter, self._release(bid))
+            self._peers.tell(voter, self._release(bid, is_unused=True))
 
     async def release(
         self,
@@ -99,11 +99,15 @@
             return
 
     def _release(
-        self, bid: messages.Bid, successor: str = ""
+        self,
+        bid: messages.Bid,
+        successor: str = "",
+        is_unused: bool = False,
     ) -> messages.Release:
         return messages.Release(
             region=self._region,
             incarnation=self._incarnation,
             bids=(bid,),
             successor=model.HostId(successor),
+            is_unused=is_unused,
         )
--- a/src/pomeloward/ownership/events.py
+++ b/src/pomeloward/ownership/events.py
@@ -18,6 +18,13 @@
     previous: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probed:
+    """A majority would vote for this host; the bids are to be sent."""
+
+    number: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lost:
     """A partition is not owned any more; its votes lapsed."""
@@ -30,8 +37,8 @@
 class Failed:
     """A candidacy did not find a majority and was given up.
 
-    The votes of ``voters`` are to be released. Nobody can win before
-    ``wait_ms`` have passed.
+    The votes of ``voters`` are to be released as unused. Nobody can win
+    before ``wait_ms`` have passed.
     """
 
     number: int
@@ -48,4 +55,4 @@
     version: model.Version
 
 
-Event = Acquired | Lost | Failed | Outdated
+Event = Acquired | Probed | Lost | Failed | Outdated
--- a/src/pomeloward/ownership/messages.py
+++ b/src/pomeloward/ownership/messages.py
@@ -10,9 +10,18 @@
 from pomeloward import model
 from pomeloward import peer
 
+# The epoch of a bid that only asks whether a vote would be granted.
+PROBE_EPOCH = 0
+
 
 class Bid(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """The wish to hold a partition under an epoch."""
+    """The wish to hold a partition under an epoch.
+
+    A bid with ``PROBE_EPOCH`` changes nothing at the voter. A candidate
+    probes first, so that one which is merely cut off from a living owner
+    takes no votes from it (the pre-vote of D. Ongaro, "Consensus: bridging
+    theory and practice", 2014, section 9.6).
+    """
 
     number: int
     epoch: int
@@ -61,13 +70,15 @@
     """Gives votes back before they lapse.
 
     For a short time the voter keeps the partitions for ``successor``; an
-    empty one keeps them for nobody.
+    empty one keeps them for nobody. ``is_unused`` tells that the holder
+    never owned the partitions under these epochs.
     """
 
     region: model.RegionId
     incarnation: model.Incarnation
     bids: tuple[Bid, ...]
     successor: model.HostId = model.HostId("")
+    is_unused: bool = False
 
 
 class Released(peer.Message, frozen=True, tag="own-released"):
--- a/src/pomeloward/ownership/shell.py
+++ b/src/pomeloward/ownership/shell.py
@@ -135,7 +135,8 @@
             self._renew_at_ms = now_ms + lease.RENEW_MS
             renewals = self._holder.renewals(now_ms)
             self._canvass.send(tasks, renewals, land.version, now_ms)
-        tasks.start_soon(self._transfers.check, land, now_ms)
+        if self._transfers.is_due(now_ms):
+            tasks.start_soon(self._transfers.check, land, now_ms)
 
     def _may_own(self, land: territory.Territory, now_ms: float) -> bool:
         state = self._members.state_of(self._own.host, now_ms)
@@ -164,13 +165,16 @@
         if not self._members.has_standing(now_ms):
             return False
         if not self._holder.is_engaged(number):
-            self._campaign.stand_for(number, land, now_ms)
+            self._campaign.stand_for(number, land, now_ms, is_probing=False)
         self._send_bids(self._tasks, land, now_ms)
         return True
 
     def _happened(self, event: events.Event, now_ms: float) -> None:
         if isinstance(event, events.Acquired):
             self._acquired(event, now_ms)
+        elif isinstance(event, events.Probed):
+            if self._land is not None and self._tasks is not None:
+                self._send_bids(self._tasks, self._land, now_ms)
         elif isinstance(event, events.Lost):
             self._users.lost(self._partition(event.number), now_ms)
         elif isinstance(event, events.Failed):
--- a/src/pomeloward/ownership/tenure.py
+++ b/src/pomeloward/ownership/tenure.py
@@ -4,12 +4,17 @@
 
 from pomeloward import model
 from pomeloward.ownership import lease
+from pomeloward.ownership import messages
 from pomeloward.ownership import territory
 
 
 class Tenure:
     """A candidacy for a partition and, once won, its ownership.
 
+    A candidacy starts by probing, unless the predecessor released its votes
+    to this host. ``has_low_epoch`` tells that a voter has granted a higher
+    epoch since, and will not renew this one.
+
     It is valid while a majority of the voters of every roster in circulation
     has granted permissions that have not ended on the holder's clock. Once
     lost it never becomes valid again: the holder needs a new epoch.
@@ -21,10 +26,13 @@
         epoch: int,
         electorate: territory.Electorate,
         started_ms: float,
+        is_probing: bool = False,
     ) -> None:
         self.number = number
         self.epoch = epoch
         self.started_ms = started_ms
+        self.is_probing = is_probing
+        self.has_low_epoch = False
         self.is_owner = False
         self.valid_until_ms = 0.0
         self._electorate = dict(electorate)
@@ -33,6 +41,7 @@
         self._ends_ms: dict[model.HostId, float] = {}
         self._previous: dict[model.HostId, int] = {}
         self._refused: set[model.HostId] = set()
+        self._probed: set[model.HostId] = set()
 
     def voters(self) -> set[model.HostId]:
         """Return the voters to ask, in all rosters."""
@@ -40,8 +49,16 @@
             voter for voters in self._electorate.values() for voter in voters
         }
 
+    def bid(self) -> messages.Bid:
+        """Return what to ask of the voters now."""
+        if self.is_probing:
+            return messages.Bid(self.number, messages.PROBE_EPOCH)
+        return messages.Bid(self.number, self.epoch)
+
     def missing(self, now_ms: float) -> set[model.HostId]:
         """Return the voters whose vote is missing or has ended."""
+        if self.is_probing:
+            return self.voters() - self._probed
         return {
             voter
             for voter in self.voters()
@@ -52,6 +69,21 @@
         """Tell whether the holder owns the partition now."""
         return self.is_owner and now_ms < self.valid_until_ms
 
+    def probe(self, voter: model.HostId, highest_epoch: int) -> bool:
+        """Count a voter that would grant; True when a majority would.
+
+        The candidacy then goes on with an epoch above all that were seen.
+        """
+        self._probed.add(voter)
+        self.epoch = max(self.epoch, highest_epoch + 1)
+        if not all(
+            2 * len(self._probed.intersection(voters)) > len(voters)
+            for voters in self._electorate.values()
+        ):
+            return False
+        self.is_probing = False
+        return True
+
     def grant(
         self, voter: model.HostId, previous: int, asked_ms: float
     ) -> None:
--- a/src/pomeloward/ownership/transfer.py
+++ b/src/pomeloward/ownership/transfer.py
@@ -32,6 +32,9 @@
     Then it releases its votes in favour of the successor, and sends the
     state last: when the successor stands, the voters are free for it. If the
     state is lost on the way, the partition changes hands without it.
+
+    An owner whose epoch a voter will not renew hands over to itself: it gets
+    a new epoch, and all voters again, without losing its state.
     """
 
     def __init__(
@@ -58,10 +61,12 @@
         self._check_at_ms = 0.0
         peers.handle(messages.HandOver, self._received)
 
+    def is_due(self, now_ms: float) -> bool:
+        """Tell whether it is time for a check."""
+        return now_ms >= self._check_at_ms
+
     async def check(self, land: territory.Territory, now_ms: float) -> None:
         """Hand over what should be elsewhere, a few partitions at a time."""
-        if now_ms < self._check_at_ms:
-            return
         self._check_at_ms = now_ms + _CHECK_MS
         is_leaving = land.is_out(self._own) or self._is_draining(now_ms)
         await self._move(land, is_leaving, _MOVES, now_ms)
@@ -90,6 +95,8 @@
                 successor = self._handback.successor(
                     number, land, is_leaving, state_of, now_ms
                 )
+                if successor is None and self._holder.needs_new_epoch(number):
+                    successor = self._own
                 if successor is not None and moves > 0:
                     moves -= 1
                     tasks.start_soon(self._hand_over, number, successor)
--- a/src/pomeloward/ownership/voter.py
+++ b/src/pomeloward/ownership/voter.py
@@ -13,17 +13,22 @@
 class _Record:
     """The last vote for a partition.
 
-    ``previous`` is the highest epoch granted before this one.
+    ``before`` is the record that this one replaced.
     """
 
     holder: _Holder
     epoch: int
-    previous: int
     until_ms: float
+    before: "_Record | None" = None
     is_released: bool = False
     reserved_for: str = ""
     reserved_until_ms: float = 0.0
 
+    @property
+    def previous(self) -> int:
+        """The highest epoch granted before this one, or 0."""
+        return 0 if self.before is None else self.before.epoch
+
 
 class Voter:
     """Grants each partition to one holder at a time, in memory.
@@ -82,16 +87,20 @@
     ) -> messages.Vote:
         record = self._records.get(bid.number)
         if record is None:
-            return self._grant(holder, bid, 0, now_ms)
+            if bid.epoch == messages.PROBE_EPOCH:
+                return messages.Vote(messages.Verdict.GRANTED)
+            return self._grant(holder, bid, None, now_ms)
         if record.holder != holder:
             wait_ms = self._wait_ms(record, holder[0], now_ms)
             if wait_ms > 0:
                 return messages.Vote(messages.Verdict.HELD, _round_up(wait_ms))
         elif bid.epoch == record.epoch and not record.is_released:
-            return self._grant(holder, bid, record.previous, now_ms)
+            return self._renew(record, now_ms)
+        if bid.epoch == messages.PROBE_EPOCH:
+            return messages.Vote(messages.Verdict.GRANTED, record.epoch)
         if bid.epoch <= record.epoch:
             return messages.Vote(messages.Verdict.LOW_EPOCH, record.epoch)
-        return self._grant(holder, bid, record.epoch, now_ms)
+        return self._grant(holder, bid, record, now_ms)
 
     def _wait_ms(
         self, record: _Record, candidate: model.HostId, now_ms: float
@@ -101,13 +110,22 @@
         return 0.0 if record.is_released else record.until_ms - now_ms
 
     def _grant(
-        self, holder: _Holder, bid: messages.Bid, previous: int, now_ms: float
+        self,
+        holder: _Holder,
+        bid: messages.Bid,
+        before: _Record | None,
+        now_ms: float,
     ) -> messages.Vote:
+        if before is not None:
+            before.before = None
         until_ms = model.outstanding_until_ms(now_ms, lease.LEASE_MS)
-        self._records[bid.number] = _Record(
-            holder, bid.epoch, previous, until_ms
-        )
-        return messages.Vote(messages.Verdict.GRANTED, previous)
+        record = _Record(holder, bid.epoch, until_ms, before)
+        self._records[bid.number] = record
+        return messages.Vote(messages.Verdict.GRANTED, record.previous)
+
+    def _renew(self, record: _Record, now_ms: float) -> messages.Vote:
+        record.until_ms = model.outstanding_until_ms(now_ms, lease.LEASE_MS)
+        return messages.Vote(messages.Verdict.GRANTED, record.previous)
 
     def release(
         self,
@@ -122,11 +140,25 @@
                 continue
             if record.holder != (holder, notice.incarnation):
                 continue
+            if notice.is_unused:
+                self._undo(bid.number, record)
+                continue
             record.is_released = True
             record.reserved_for = notice.successor
             if notice.successor:
                 record.reserved_until_ms = now_ms + lease.RESERVE_MS
 
+    def _undo(self, number: int, record: _Record) -> None:
+        """Forget a vote under which nobody ever owned.
+
+        An owner with a lower epoch, which the candidate was cut off from or
+        lost against, can then renew here again.
+        """
+        if record.before is None:
+            del self._records[number]
+        else:
+            self._records[number] = record.before
+
     def free_at_ms(self, number: int) -> float:
         """Return when, by this voter's memory, a partition becomes free."""
         record = self._records.get(number)
