--- a/src/pomeloward/ownership/placement.py
+++ b/src/pomeloward/ownership/placement.py
@@ -14,9 +14,9 @@
 
     The voters of a partition are taken in turn from each zone in the order
     of their scores, so that the loss of any one of three or more zones
-    leaves a majority. The candidates for its ownership are its voters:
-    they see the lease of a lost owner lapse in their own memory. Candidates
-    of the partition's preferred zone come first.
+    leaves a majority. They follow from the roster alone. The voters are the
+    candidates for the ownership too: they see the lease of a lost owner
+    lapse in their own memory.
 
     Partitions are placed on first use; one takes about 0.1 ms with 200
     hosts.
@@ -44,15 +44,9 @@
             known = self._voters[number] = self._choose_voters(number)
         return known
 
-    def candidates(self, number: int) -> tuple[model.HostId, ...]:
-        """Return the voters in the order in which they should own."""
-        preferred = self.preferred_zone(number)
-        return tuple(
-            sorted(
-                self.voters(number),
-                key=lambda host: self._zone_by_host[host] != preferred,
-            )
-        )
+    def zone_of(self, host: model.HostId) -> model.ZoneId | None:
+        """Return the zone of a host in this roster."""
+        return self._zone_by_host.get(host)
 
     def _choose_voters(self, number: int) -> tuple[model.HostId, ...]:
         by_zone: dict[model.ZoneId, list[model.HostId]] = {}
--- a/src/pomeloward/ownership/territory.py
+++ b/src/pomeloward/ownership/territory.py
@@ -5,6 +5,7 @@
 from pomeloward import catalog
 from pomeloward import model
 from pomeloward.ownership import placement
+from pomeloward.ownership import preference
 
 # The voters of a partition by the number of each roster in circulation.
 Electorate = collections.abc.Mapping[int, tuple[model.HostId, ...]]
@@ -28,6 +29,7 @@
         self.version = view.version
         self.partitions = 0 if found is None else found.partitions
         self._zones_out = _zones_out(view, region)
+        self._firsts: list[model.HostId] | None = None
         self._zone_by_host: dict[model.HostId, model.ZoneId] = {}
         self._placements: dict[int, placement.Placement] = {}
         self._sources: dict[int, dict[model.HostId, model.ZoneId]] = {}
@@ -38,6 +40,8 @@
             self._placements[roster.number] = _reuse(
                 previous, roster.number, zones
             )
+        if previous is not None and self._has_same_candidates(previous):
+            self._firsts = previous.firsts()
 
     def electorate(self, number: int) -> Electorate:
         """Return the voters of a partition in each roster."""
@@ -56,16 +60,44 @@
             )
         return tuple(voters)
 
+    def _has_same_candidates(self, previous: "Territory") -> bool:
+        return (
+            self._newest() is previous._newest()
+            and self.partitions == previous.partitions
+            and self._zones_out == previous._zones_out
+        )
+
+    def _newest(self) -> placement.Placement | None:
+        if not self._placements:
+            return None
+        return self._placements[max(self._placements)]
+
+    def firsts(self) -> list[model.HostId]:
+        """Return the first candidate of each partition."""
+        newest = self._newest()
+        if self._firsts is None and newest is not None:
+            self._firsts = preference.balanced_firsts(
+                newest, self.partitions, self.is_out
+            )
+        return self._firsts or []
+
     def candidates(self, number: int) -> tuple[model.HostId, ...]:
         """Return the candidates in the newest roster, best first.
 
-        Hosts of zones that are taken out come last: they own only where
-        nobody else is left.
+        Hosts of the preferred zone come before others, and hosts of zones
+        that are taken out last: they own only where nobody else is left.
         """
-        if not self._placements:
+        newest = self._newest()
+        firsts = self.firsts()
+        if newest is None or number >= len(firsts):
             return ()
-        newest = self._placements[max(self._placements)]
-        return tuple(sorted(newest.candidates(number), key=self.is_out))
+        preferred = newest.preferred_zone(number)
+
+        def order(host: model.HostId) -> tuple[bool, bool, bool]:
+            is_other_zone = newest.zone_of(host) != preferred
+            return self.is_out(host), host != firsts[number], is_other_zone
+
+        return tuple(sorted(newest.voters(number), key=order))
 
     def is_out(self, host: model.HostId) -> bool:
         """Tell whether a host is in a zone that is taken out."""
