--- a/src/pomeloward/commands/plan.py
+++ b/src/pomeloward/commands/plan.py
@@ -9,15 +9,13 @@
 import sys
 import time
 
-import anyio
-import httpx
 import msgspec
 
 from pomeloward import catalog
 from pomeloward import model
-from pomeloward import platform
 from pomeloward import settings
 from pomeloward.commands import exits
+from pomeloward.commands import hosts
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -46,7 +44,9 @@
         "sheet", help="turn a morning sheet into the changes to publish"
     )
     sheet.add_argument("sheet", type=pathlib.Path)
-    _add_source(sheet)
+    hosts.add_source_arguments(
+        sheet.add_mutually_exclusive_group(required=True)
+    )
     sheet.add_argument(
         "--out", type=pathlib.Path, help="directory for the changes"
     )
@@ -56,17 +56,13 @@
     sheet.set_defaults(run=_sheet)
     diff = commands.add_parser("diff", help="compare with a file")
     diff.add_argument("file", type=pathlib.Path)
-    _add_source(diff)
+    hosts.add_source_arguments(
+        diff.add_mutually_exclusive_group(required=True)
+    )
     diff.set_defaults(run=_diff)
     return parser
 
 
-def _add_source(parser: argparse.ArgumentParser) -> None:
-    source = parser.add_mutually_exclusive_group(required=True)
-    source.add_argument("--configuration", type=pathlib.Path)
-    source.add_argument("--platform", metavar="URL")
-
-
 def _check(parsed: argparse.Namespace) -> None:
     if parsed.file.suffix == ".toml":
         settings.load(parsed.file)
@@ -79,7 +75,7 @@
 
 
 def _sheet(parsed: argparse.Namespace) -> None:
-    in_force = _in_force(parsed)
+    in_force = hosts.configuration(parsed)
     text = _text(parsed.sheet)
     rows = catalog.read_sheet(text, parsed.now)
     planned = catalog.SheetPlan(in_force, rows, parsed.now).changes()
@@ -95,7 +91,9 @@
 
 def _diff(parsed: argparse.Namespace) -> None:
     wanted = catalog.parse_file(parsed.file.read_bytes())
-    for line in catalog.differences_between(_in_force(parsed), wanted):
+    for line in catalog.differences_between(
+        hosts.configuration(parsed), wanted
+    ):
         print(line)
 
 
@@ -121,18 +119,6 @@
     (directory / "schedule.json").write_bytes(plan)
 
 
-def _in_force(parsed: argparse.Namespace) -> catalog.Configuration:
-    if parsed.configuration is not None:
-        return catalog.parse_file(parsed.configuration.read_bytes())
-    return anyio.run(_published, parsed.platform)
-
-
-async def _published(url: str) -> catalog.Configuration:
-    async with httpx.AsyncClient() as client:
-        source = platform.HttpPlatform(client, url)
-        return await catalog.read_published(source)
-
-
 def _failed(error: Exception, status: int) -> int:
     print(f"pomeloward-plan: {error}", file=sys.stderr)
     return status
