--- a/src/pomeloward/catalog/__init__.py
+++ b/src/pomeloward/catalog/__init__.py
@@ -6,6 +6,7 @@
 from pomeloward.catalog.configuration import Configuration as Configuration
 from pomeloward.catalog.contacts import contacts_of as contacts_of
 from pomeloward.catalog.contacts import push_targets as push_targets
+from pomeloward.catalog.contacts import zones_of_region as zones_of_region
 from pomeloward.catalog.difference import (
     differences_between as differences_between,
 )
--- a/src/pomeloward/catalog/contacts.py
+++ b/src/pomeloward/catalog/contacts.py
@@ -8,6 +8,15 @@
 CONTACT_COUNT = 32
 
 
+def zones_of_region(
+    view: views.View, region: model.RegionId
+) -> dict[model.HostId, model.ZoneId]:
+    """Return the zone of each host of a region, for ``ReaderChoice``."""
+    return {
+        host.id: host.zone for host in view.hosts() if host.region == region
+    }
+
+
 def contacts_of(
     view: views.View, own: model.HostId
 ) -> tuple[model.HostId, ...]:
@@ -51,4 +60,4 @@
     record = view.host(own)
     if record is None:
         return []
-    return [host.id for host in view.hosts() if host.region == record.region]
+    return list(zones_of_region(view, record.region))
--- a/src/pomeloward/catalog/shell.py
+++ b/src/pomeloward/catalog/shell.py
@@ -61,6 +61,12 @@
                 self._perform(self._decisions.on_tick(now_ms), now_ms)
                 await anyio.sleep(spreader.TICK_MS / 1000)
 
+    def on_peer_version(
+        self, host: model.HostId, version: model.Version
+    ) -> None:
+        """Hear that a peer has a version, from a heartbeat or a refusal."""
+        self._decisions.on_peer_version(host, version, _now_ms())
+
     def accepted_version(self) -> model.Version:
         """Return the version in force."""
         return self._decisions.view.version
--- a/src/pomeloward/platform/reader.py
+++ b/src/pomeloward/platform/reader.py
@@ -110,6 +110,10 @@
         )
         self._succeeded()
         self._cursor.on_waited()
+        if found is None:
+            # The numbers of writes start again when the platform is rebuilt,
+            # and a watch above the old number would then wait for ever.
+            found = await self._read(head.HEAD_NAME)
         if found is not None:
             self._head_version = found.version
             self._cursor.on_head(head.decode_head(found.payload))
--- a/tests/catalog/test_sheet.py
+++ b/tests/catalog/test_sheet.py
@@ -165,6 +165,16 @@
     assert place in str(caught.value)
 
 
+def test_change_above_a_value_of_the_platform_is_refused():
+    """Guards against a plan that cannot be published."""
+    rows = [
+        _row(kind="team", id=f"t{n}", rate_per_s="1", burst_requests="1")
+        for n in range(14_000)
+    ]
+    with pytest.raises(model.SheetError, match="line 2, column from: 14000"):
+        _plan(*rows)
+
+
 def test_unknown_column_is_refused():
     """Guards against a misspelt column that is silently ignored."""
     with pytest.raises(model.SheetError, match="line 1, column rate: "):
--- a/tests/platform/test_reader.py
+++ b/tests/platform/test_reader.py
@@ -3,6 +3,7 @@
 import random
 
 import anyio
+import httpx
 import pytest
 import trio
 import trio.testing
@@ -133,6 +134,63 @@
     assert sink.view.version == 4
 
 
+def test_rebuilt_platform_is_followed():
+    """Guards against a watch above a number of writes that never comes."""
+
+    async def script(memory, sink):
+        for _ in range(5):
+            memory.publish_head(platform.Head(0))
+        memory.publish_snapshot(samples.configuration(4))
+        await anyio.sleep(5)
+        memory.values.clear()
+        memory.publish_snapshot(samples.configuration(4))
+        memory.publish(samples.change(4))
+        await anyio.sleep(25)
+
+    _, sink = _run(script)
+    assert sink.view.version == 5
+
+
+def test_published_configuration_is_read_once():
+    """Guards against a plan made against another configuration."""
+    memory = fakes.MemoryPlatform()
+    memory.publish_snapshot(samples.configuration(4))
+    team = catalog.Team("crew", 9.0, 20.0)
+    memory.publish(samples.change(4, [catalog.Team("crew", -1.0, 1.0)]))
+    memory.publish(samples.change(4, [team], version=6))
+
+    async def main():
+        async with memory.client() as client:
+            source = platform.HttpPlatform(client, "http://platform")
+            return await catalog.read_published(source)
+
+    view = anyio.run(main)
+    assert (view.version, view.team("crew")) == (6, team)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        {"status_code": 500},
+        {"status_code": 200, "content": b"x" * 1_000_001},
+        {"status_code": 200, "headers": {"Value-Version": "x"}},
+    ],
+)
+def test_bad_answer_counts_as_unavailable(answer):
+    """Guards against a reader that ends, or keeps an oversized value."""
+    transport = httpx.MockTransport(lambda _: httpx.Response(**answer))
+
+    async def main():
+        async with httpx.AsyncClient(transport=transport) as client:
+            source = platform.HttpPlatform(client, "http://platform")
+            with pytest.raises(model.PlatformUnavailable):
+                await source.read("head")
+            with pytest.raises(model.PlatformUnavailable):
+                await source.hosts()
+
+    anyio.run(main)
+
+
 @pytest.mark.parametrize("payload", [b"", b"{", b'{"version": "x"}', b"\xff"])
 def test_malformed_head_is_survived(payload):
     """Guards against a reader that ends on a malformed value."""
