Ask seeds as well while starting

Cause: a configuration of a stale platform may list only hosts that are gone, and a starting host then has no contact that answers. Change: a starting host asks its seeds besides its contacts. The test's fake network reports questions without an answer, as the shell does.

--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -22,6 +22,9 @@
 from pomeloward import model
 from pomeloward.catalog import actions
 from pomeloward.catalog import change as changes
+from pomeloward.catalog import pages
+from pomeloward.platform import readerchoice
+from pomeloward.platform import rendezvous
 
 CHANGES_PER_DAY = 3_000
 DAY_S = 86_400
@@ -37,8 +40,12 @@
     view = _memory()
     _lookups(view, rng)
     _applies(view, rng)
-    for loss_ratio in (0.0, 0.05):
-        _spread(random.Random(seed), loss_ratio)
+    _pages(view)
+    fleet = catalog.Configuration.of_records(
+        model.Version(1), plannedsize.fleet()
+    )
+    for loss_ratio, dead in ((0.0, ()), (0.05, ()), (0.2, ("zone-1",))):
+        _spread(fleet, random.Random(seed), loss_ratio, set(dead))
 
 
 def _memory() -> catalog.Configuration:
@@ -116,23 +123,45 @@
     print(f"a change has {mean:.0f} bytes in the mean")
 
 
-def _spread(rng: random.Random, loss_ratio: float) -> None:
+def _pages(view: catalog.Configuration) -> None:
+    count = pages.page_count(view)
+    numbers = [(view, number, count) for number in range(count)]
+    _timed("encode one page for a peer", pages.encode_page, numbers)
+    sizes = [len(pages.encode_page(*each)) for each in numbers]
+    print(f"{count} pages, {sum(sizes)} bytes, at most {max(sizes)} in one")
+    shards = catalog.encode_shards(view)
+    print(
+        f"{len(shards)} shards for the platform, {sum(map(len, shards))} "
+        f"bytes, at most {max(map(len, shards))} in one"
+    )
+
+
+def _spread(
+    view: catalog.Configuration,
+    rng: random.Random,
+    loss_ratio: float,
+    dead: collections.abc.Set[str],
+) -> None:
     """Push one change from the readers, breadth first."""
-    hosts = plannedsize.fleet()
-    view = catalog.Configuration.of_records(model.Version(1), hosts)
-    names = [each.id for each in hosts if isinstance(each, catalog.Host)]
-    nodes = {}
-    for name in names:
-        node = catalog.Spreader(name, names[:3], rng)
+    nodes = {
+        host.id: catalog.Spreader(host.id, (), rng)
+        for host in view.hosts()
+        if host.zone not in dead
+    }
+    for node in nodes.values():
         node.on_built(view, 0.0)
-        nodes[name] = node
     team = catalog.Team(model.TeamId("crew"), 1.0, 1.0)
-    payload = changes.encode_change(
-        catalog.Change(view.version, model.Version(2), (team,))
-    )
-    queue: collections.deque[tuple[model.HostId, int]] = collections.deque(
-        (name, 0) for name in rng.sample(names, 9)
+    version = model.Version(view.version + 1)
+    payload = catalog.encode_change(
+        catalog.Change(view.version, version, (team,))
     )
+    readers = []
+    for region in view.regions():
+        zones = catalog.zones_of_region(view, region.id)
+        living = {host: zones[host] for host in zones if host in nodes}
+        order = rendezvous.ranked_over_zones(f"reader/{region.id}", living)
+        readers += order[: readerchoice.READER_COUNT]
+    queue = collections.deque((name, 0) for name in readers)
     hops: dict[model.HostId, int] = {}
     messages = 0
     while queue:
@@ -143,15 +172,20 @@
         for action in todo:
             if isinstance(action, actions.Tell):
                 messages += 1
-                if rng.random() >= loss_ratio:
+                if action.host in nodes and rng.random() >= loss_ratio:
                     queue.append((action.host, hop + 1))
-    per_day = messages / len(names) * len(payload) * CHANGES_PER_DAY
+    missed = nodes.keys() - hops.keys()
+    # These hear of the version in the next heartbeat and pull it.
+    pulling = [name for name in missed if hops.keys() & nodes[name].contacts]
+    per_change = messages * len(payload) / len(nodes)
+    per_s = per_change * CHANGES_PER_DAY / DAY_S
     print(
-        f"push with {loss_ratio:.0%} loss: {len(hops)} of {len(names)} hosts, "
-        f"hops mean {statistics.fmean(hops.values()):.1f} max "
-        f"{max(hops.values())}, {messages} messages, "
-        f"{messages / len(names) * len(payload):.0f} bytes per change and "
-        f"host, {per_day / DAY_S:.1f} B/s at {CHANGES_PER_DAY} changes a day"
+        f"push with {loss_ratio:.0%} loss and {len(dead)} zones dead: "
+        f"{len(hops)} of {len(nodes)} hosts, hops mean "
+        f"{statistics.fmean(hops.values()):.1f} max {max(hops.values())}, "
+        f"{messages} messages; {len(pulling)} of {len(missed)} others have "
+        f"a contact to pull from; {per_change:.0f} bytes for each host, "
+        f"{per_s:.1f} B/s at {CHANGES_PER_DAY} changes a day"
     )
 
 
--- a/src/pomeloward/catalog/spreader.py
+++ b/src/pomeloward/catalog/spreader.py
@@ -6,11 +6,11 @@
 from pomeloward import model
 from pomeloward import peer
 from pomeloward.catalog import actions
+from pomeloward.catalog import answers
 from pomeloward.catalog import configuration
 from pomeloward.catalog import contacts
 from pomeloward.catalog import kind
 from pomeloward.catalog import messages
-from pomeloward.catalog import pagesource
 from pomeloward.catalog import puller
 from pomeloward.catalog import readiness
 from pomeloward.catalog import store
@@ -46,8 +46,9 @@
         self._store = store.Store()
         self._readiness = readiness.Readiness()
         self._puller = puller.Puller(rng)
-        self._page_source = pagesource.PageSource()
+        self._answers = answers.Answers(self._store)
         self._contacts: collections.abc.Collection[model.HostId] = self._seeds
+        self._asked: collections.abc.Collection[model.HostId] = self._seeds
         self._targets: tuple[model.HostId, ...] = ()
         self._arranged = self._store.current
 
@@ -122,7 +123,7 @@
         """Return the questions that are due; called every ``TICK_MS``."""
         done: Actions = [
             actions.Ask(host, messages.VersionAsk())
-            for host in self._readiness.questions(self._contacts, now_ms)
+            for host in self._readiness.questions(self._asked, now_ms)
         ]
         pull = self._puller.next_question(
             self.view.version, now_ms, not self.is_ready
@@ -161,20 +162,7 @@
         self, question: peer.Message, now_ms: float
     ) -> peer.Message | None:
         """Answer a peer's question."""
-        current = self.view
-        match question:
-            case messages.VersionAsk():
-                return messages.VersionAnswer(version=current.version)
-            case messages.ChangesAsk():
-                found = self._store.log.after(question.after)
-                return messages.ChangesAnswer(
-                    version=current.version,
-                    changes=found or (),
-                    is_gap=found is None and question.after < current.version,
-                )
-            case messages.PageAsk():
-                return self._page_source.answer(question, current, now_ms)
-        return None
+        return self._answers.answer(question, now_ms)
 
     def _on_changes(
         self,
@@ -236,11 +224,13 @@
 
     def _arrange(self, view: configuration.Configuration) -> None:
         self._arranged = view
+        # Seeds stay, since a stale configuration may list hosts long gone.
         if view.host(self._own) is None:
             self._contacts, self._targets = self._seeds, ()
         else:
             self._contacts = self._contacts_of(view, self._own)
             self._targets = contacts.push_targets(view, self._own)
+        self._asked = dict.fromkeys((*self._contacts, *self._seeds))
 
     def _compare(self, now_ms: float) -> None:
         view = self.view
--- a/tests/catalog/test_spreader.py
+++ b/tests/catalog/test_spreader.py
@@ -1,5 +1,7 @@
 """State machine of the configuration's way through a faulty fleet."""
 
+import random
+
 from hypothesis import stateful
 from hypothesis import strategies
 
@@ -194,3 +196,38 @@
 
 def test_configuration_spreads_safely():
     seeds.run_machine(Spreading, max_examples=80, step_count=40)
+
+
+def test_stale_configuration_of_a_replaced_fleet_is_outgrown():
+    """Guards against a start that knows only hosts that are long gone."""
+    old_zones = {name: ("z1", "north") for name in ("n0", "g1", "g2")}
+    contents = [
+        catalog.Region("north", 8),
+        catalog.Zone("z1", "north"),
+        *(
+            catalog.Host(host, zone, region, "127.0.0.1", 1, 2)
+            for host, (zone, region) in old_zones.items()
+        ),
+    ]
+    old = catalog.Configuration.of_records(1, contents)
+    hosts = ["n0", "n1", "n2"]
+    fleet = world.World(dict.fromkeys(hosts), old)
+    for number in (1, 2):
+        host = catalog.Host(f"n{number}", "z1", "north", "127.0.0.1", 1, 2)
+        gone = (catalog.Kind.HOST, f"g{number}")
+        fleet.publish([host], [gone])
+    for host in ("n1", "n2"):
+        fleet.perform(host, fleet.nodes[host].on_built(fleet.published[-1], 0))
+    fleet.read("n0", lag=9)
+    assert fleet.nodes["n0"].view.version == 1
+    fleet.settle(8_000, has_heartbeats=False)
+    assert fleet.nodes["n0"].view.version == 3
+    assert fleet.nodes["n0"].is_ready
+
+
+def test_host_without_peers_is_not_ready_before_it_is_listed():
+    """Guards against serving a configuration of another fleet."""
+    node = catalog.Spreader("n9", [], random.Random(1))
+    node.on_built(_first(), 0.0)
+    node.on_tick(0.0)
+    assert not node.is_ready
--- a/tests/catalog/world.py
+++ b/tests/catalog/world.py
@@ -23,6 +23,7 @@
     form: str
     asked_at_ms: float
     incarnation: int
+    ask_id: int
 
 
 class World:
@@ -39,8 +40,8 @@
         self.nodes = {}
         self.incarnations = dict.fromkeys(self.hosts, 0)
         self.builds = 0
-        self.sent = 0
-        self.sent_bytes = 0
+        self.ask_count = 0
+        self.pending = {}
         self.seed_count = seed_count
         for host in self.hosts:
             self.start(host)
@@ -91,19 +92,25 @@
                     node = self.nodes[host]
                     self.perform(host, node.on_built(whole, self.now_ms))
 
-    def _send(self, source, host, message, form, asked_at_ms=None):
-        when_ms = self.now_ms if asked_at_ms is None else asked_at_ms
-        self.sent += 1
+    def _send(self, source, host, message, form, asked=None):
+        when_ms = asked.asked_at_ms if asked else self.now_ms
+        if form == "ask":
+            self.ask_count += 1
+        ask_id = asked.ask_id if asked else self.ask_count
         incarnation = self.incarnations[host if form == "answer" else source]
-        self.letters.append(
-            Letter(source, host, message, form, when_ms, incarnation)
+        letter = Letter(
+            source, host, message, form, when_ms, incarnation, ask_id
         )
+        self.letters.append(letter)
+        if form == "ask":
+            self.pending[source, ask_id] = letter
 
     def deliver(self, index, is_kept=False):
         letter = self.letters[index]
         if not is_kept:
             del self.letters[index]
-        if (letter.source, letter.host) in self.cuts:
+        is_cut = (letter.source, letter.host) in self.cuts
+        if is_cut or letter.host not in self.nodes:
             return
         node = self.nodes[letter.host]
         if letter.form == "tell":
@@ -115,6 +122,7 @@
             answer = node.answer(letter.message, self.now_ms)
             self._answer(letter, answer)
         elif self._is_awaited(letter):
+            self.pending.pop((letter.host, letter.ask_id), None)
             todo = node.on_answer(
                 letter.source, letter.message, letter.asked_at_ms, self.now_ms
             )
@@ -122,13 +130,7 @@
 
     def _answer(self, letter, answer):
         if letter.incarnation == self.incarnations[letter.source]:
-            self._send(
-                letter.host,
-                letter.source,
-                answer,
-                "answer",
-                letter.asked_at_ms,
-            )
+            self._send(letter.host, letter.source, answer, "answer", letter)
 
     def _is_awaited(self, letter):
         age_ms = self.now_ms - letter.asked_at_ms
@@ -142,23 +144,36 @@
 
     def advance(self, step_ms):
         self.now_ms += step_ms
+        self._expire()
         for host, node in self.nodes.items():
             self.perform(host, node.on_tick(self.now_ms))
 
+    def _expire(self):
+        """Report questions without an answer, as the shell does."""
+        for place, letter in list(self.pending.items()):
+            age_ms = self.now_ms - letter.asked_at_ms
+            is_same = letter.incarnation == self.incarnations[letter.source]
+            if age_ms > puller.ASK_TIMEOUT_MS or not is_same:
+                del self.pending[place]
+                if is_same:
+                    node = self.nodes[letter.source]
+                    node.on_failure(letter.host, letter.message)
+
     def heartbeats(self):
         for host, node in self.nodes.items():
             for contact in node.contacts:
-                if (host, contact) not in self.cuts:
+                is_cut = (host, contact) in self.cuts
+                if contact in self.nodes and not is_cut:
                     self.nodes[contact].on_peer_version(
                         host, node.view.version, self.now_ms
                     )
 
-    def settle(self, duration_ms):
+    def settle(self, duration_ms, has_heartbeats=True):
         """Run with healed links and no loss."""
         self.cuts.clear()
         for step in range(int(duration_ms / 100)):
             self.advance(100.0)
-            if step % 5 == 0:
+            if step % 5 == 0 and has_heartbeats:
                 self.heartbeats()
             # Only a fault in the code under test makes messages endless.
             for _ in range(MAX_LETTERS):
--- a/tests/platform/test_reader.py
+++ b/tests/platform/test_reader.py
@@ -134,6 +134,25 @@
     assert sink.view.version == 4
 
 
+def test_steady_reads_are_few():
+    """Guards against readers that use up the platform's 2,000 reads/s.
+
+    Nine readers may take a two-hundredth of it: 1 read/s each.
+    """
+
+    async def script(memory, sink):
+        memory.publish_snapshot(samples.configuration(1))
+        # 125 changes an hour are the 3,000 a day of the planned size.
+        for version in range(1, 126):
+            await anyio.sleep(28.8)
+            memory.publish(samples.change(version))
+        await anyio.sleep(5)
+
+    memory, sink = _run(script)
+    assert sink.view.version == 126
+    assert memory.attempts < 3_600
+
+
 def test_rebuilt_platform_is_followed():
     """Guards against a watch above a number of writes that never comes."""
 
