--- a/tests/catalog/test_sheet.py
+++ b/tests/catalog/test_sheet.py
@@ -1,5 +1,7 @@
 """Tests of the planners' morning sheet."""
 
+import pathlib
+
 import pytest
 
 from pomeloward import catalog
@@ -247,3 +249,15 @@
     rows = catalog.read_sheet(_HEADER + retire, _NOW_S)
     with pytest.raises(model.SheetError, match="line 2, column from"):
         catalog.SheetPlan(view, rows, _NOW_S).changes()
+
+
+def test_example_of_the_page_for_operators_is_valid():
+    """Guards against documentation that the program refuses."""
+    page = pathlib.Path("docs/operators.md").read_text()
+    lines = [line[4:] for line in page.splitlines() if line[:4] == "    "]
+    start = lines.index(next(each for each in lines if each[:5] == "kind,"))
+    rows = catalog.read_sheet("\n".join(lines[start:]), _NOW_S)
+    assert len(rows) == 5
+    view = samples.configuration(4)
+    planned = catalog.SheetPlan(view, rows, _NOW_S).changes()
+    assert [len(each.differences) for each in planned] == [2, 1, 1]
