--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+import os
 
 from pomeloward import catalog
 from pomeloward import model
@@ -78,14 +79,23 @@
     return f"host-{index}"
 
 
+def own_network() -> int:
+    """Return the second octet of this process's loopback addresses.
+
+    Launchers that run at the same time must not share addresses.
+    """
+    return 20 + os.getpid() % 200
+
+
 def host_address(index: int) -> str:
     """Return the loopback address of an entry host."""
-    return f"127.0.1.{index + 1}"
+    return f"127.{own_network()}.1.{index + 1}"
 
 
 def target_bind(service_index: int, index: int) -> str:
     """Return address and port of a target."""
-    return f"127.0.{2 + service_index}.{index + 1}:{TARGET_PORT}"
+    network = f"127.{own_network()}.{2 + service_index}"
+    return f"{network}.{index + 1}:{TARGET_PORT}"
 
 
 def key_record(index: int, number: int = 0) -> catalog.Key:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -17,8 +17,9 @@
 from pomeloward import catalog
 from pomeloward import model
 
-PLATFORM_BIND = "127.0.0.10:8500"
-TARGET_ADMIN_BIND = "127.0.0.11:8501"
+_NETWORK = deployment.own_network()
+PLATFORM_BIND = f"127.{_NETWORK}.0.10:8500"
+TARGET_ADMIN_BIND = f"127.{_NETWORK}.0.11:8501"
 _SECRET = "loopback-fleet-secret-for-tests"  # noqa: S105
 
 
@@ -144,14 +145,7 @@
         self._processes.clear()
 
     def _publish_snapshot(self) -> None:
-        self._put(
-            "values/snapshot/1/0",
-            {
-                "version": 1,
-                "shard": 0,
-                "records": self.records,
-            },
-        )
+        self._put("values/snapshot/1/0", self.records)
         self._put_head()
 
     def _put_head(self) -> None:
