--- a/src/pomeloward/budget/borrower.py
+++ b/src/pomeloward/budget/borrower.py
@@ -1,9 +1,11 @@
 """The tokens that a host has borrowed for its teams."""
 
+import collections.abc
 import dataclasses
 import random
 
 from pomeloward import model
+from pomeloward.budget import fill
 from pomeloward.budget import holding
 from pomeloward.budget import messages
 from pomeloward.budget import place
@@ -74,6 +76,19 @@
         until_ms = self._avoid_until_ms.get(source.owner, 0.0)
         return source.owner is not None and now_ms >= until_ms
 
+    def order(
+        self, places: collections.abc.Iterable[place.Place], now_ms: float
+    ) -> list[place.Place]:
+        """Return places, nearest first, in the order in which to ask."""
+
+        def preference(source: place.Place) -> float:
+            known = self._wallet(source.portion.team).fills.get(source.name)
+            if known is None:
+                return 0.0
+            return fill.preference(known.estimate(source.portion, now_ms))
+
+        return sorted(places, key=preference)
+
     def ask(
         self, source: place.Place, need: int, now_ms: float
     ) -> messages.TakeTokens:
@@ -98,6 +113,7 @@
             return 0
         source = question.source
         known = self._wallet(source.portion.team)
+        known.fills[source.name] = fill.Fill(answer.fill_percent, now_ms)
         if not answer.granted:
             known.empty_until_ms[source.name] = now_ms + answer.retry_after_ms
             return 0
--- a/src/pomeloward/budget/bucket.py
+++ b/src/pomeloward/budget/bucket.py
@@ -42,6 +42,11 @@
         """Tokens that can be lent now."""
         return self._level
 
+    @property
+    def fill_percent(self) -> int:
+        """What can be lent now, as a part of the burst."""
+        return int(100 * self._level / max(self._burst, 1.0))
+
     @property
     def outstanding_requests(self) -> int:
         """Tokens that hosts may still use."""
--- a/src/pomeloward/budget/client.py
+++ b/src/pomeloward/budget/client.py
@@ -109,7 +109,7 @@
             is_decisive = True
 
     async def _run_search(self, team: model.TeamId) -> _Shared:
-        places = self._places.places(team, _now_ms())
+        places = self._ordered_places(team)
         shared = _Shared(search.Search(self._tokens, places))
         self._searches[team] = shared
         try:
@@ -145,6 +145,10 @@
             return None
         return answer if isinstance(answer, messages.Tokens) else None
 
+    def _ordered_places(self, team: model.TeamId) -> list[place.Place]:
+        places = self._places.places(team, _now_ms())
+        return self._tokens.order(places, _now_ms())
+
     def _spend(self, team: model.TeamId) -> bool:
         source = self._tokens.spend(team, _now_ms())
         if source is None:
@@ -169,7 +173,7 @@
             return
         if not self._tokens.extra(team, _now_ms()):
             return
-        for source in self._places.places(team, _now_ms()):
+        for source in self._ordered_places(team):
             wait_ms = self._tokens.retry_after_ms(source, _now_ms())
             if self._tokens.is_reachable(source, _now_ms()) and wait_ms <= 0:
                 self._fetching.add(team)
--- a/src/pomeloward/budget/lender.py
+++ b/src/pomeloward/budget/lender.py
@@ -49,9 +49,13 @@
         )
         held = _Held(refill_from_ms, {}, {})
         self._held[partition] = held
-        if not exported:
+        try:
+            known = msgspec.msgpack.decode(
+                exported or b"", type=state.PartitionState
+            )
+        except msgspec.DecodeError:
+            # There is none, or another release wrote it.
             return
-        known = msgspec.msgpack.decode(exported, type=state.PartitionState)
         held.refill_from_ms = now_ms - known.refilled_ms
         for named in known.buckets:
             name = (named.team, named.region, named.index)
@@ -111,6 +115,7 @@
             granted=granted,
             lifetime_ms=loan.LOAN_LIFETIME_MS,
             retry_after_ms=0.0 if granted else lending.retry_after_ms(),
+            fill_percent=lending.fill_percent,
         )
 
     def report(
--- a/src/pomeloward/budget/messages.py
+++ b/src/pomeloward/budget/messages.py
@@ -33,15 +33,17 @@
 class Tokens(peer.Message, frozen=True, tag="tokens"):
     """Answers ``TakeTokens``.
 
-    With no tokens granted, ``retry_after_ms`` is the time until the portion
-    has refilled one. ``is_owner`` is false where the asked host does not
-    hold the portion.
+    ``fill_percent`` is what is left of the portion's burst. With no tokens
+    granted, ``retry_after_ms`` is the time until the portion has refilled
+    one. ``is_owner`` is false where the asked host does not hold the
+    portion.
     """
 
     number: int
     granted: int = 0
     lifetime_ms: float = 0.0
     retry_after_ms: float = 0.0
+    fill_percent: int = 0
     is_owner: bool = True
 
 
--- a/src/pomeloward/budget/place.py
+++ b/src/pomeloward/budget/place.py
@@ -6,6 +6,8 @@
 from pomeloward.budget import loan
 from pomeloward.budget import portion
 
+_SMALL_BURST_REQUESTS = 20.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Place:
@@ -25,8 +27,9 @@
         """Whether unreported loans could stop the portion's refill.
 
         Spent tokens take up burst until they are reported or their loan
-        ends. Where the refill of two loan lifetimes exceeds the burst, hosts
-        report at once.
+        ends. Hosts report at once where the refill of two loan lifetimes
+        exceeds the burst, and where every token of the burst counts.
         """
         refill = self.portion.rate_per_s * loan.LOAN_LIFETIME_MS / 1000
-        return self.portion.burst_requests < 2 * refill
+        burst = self.portion.burst_requests
+        return burst < max(2 * refill, _SMALL_BURST_REQUESTS)
--- a/src/pomeloward/budget/portion.py
+++ b/src/pomeloward/budget/portion.py
@@ -9,6 +9,11 @@
 
 # Portions of a team in one region; they lie in different availability zones.
 MAX_PORTIONS = 3
+# Small portions overflow while another one is empty, and so lose rate and
+# burst: with 3.3 tokens each, a team at 80% of its rate was refused 1% of its
+# requests. The price is that a small team is without tokens for the seconds
+# until its one portion has a new owner.
+_MIN_BURST_REQUESTS = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,10 +39,10 @@
     burst is under one token gives its part to a region chosen by hash, so
     that no part is too small to admit a request, unless all of them together
     are. Within a region the part is
-    divided into as many portions as it has whole tokens of burst, from 1 to
-    ``MAX_PORTIONS``.
+    divided into up to ``MAX_PORTIONS`` portions of at least
+    ``_MIN_BURST_REQUESTS`` each, or kept as one.
 
-    Example: a burst of 2 in one region makes two portions of 1 each.
+    Example: a burst of 25 in one region makes two portions of 12.5 each.
     """
     team = view.team(team_id)
     if team is None:
@@ -45,7 +50,7 @@
     portions = []
     for region, ratio in _ratios(view, team).items():
         burst = team.burst_requests * ratio
-        count = max(1, min(MAX_PORTIONS, int(burst)))
+        count = max(1, min(MAX_PORTIONS, int(burst / _MIN_BURST_REQUESTS)))
         portions += [
             Portion(
                 team_id,
--- a/src/pomeloward/budget/wallet.py
+++ b/src/pomeloward/budget/wallet.py
@@ -1,6 +1,7 @@
 """The tokens of one team at one host."""
 
 from pomeloward.budget import demand
+from pomeloward.budget import fill
 from pomeloward.budget import holding
 from pomeloward.budget import messages
 
@@ -14,6 +15,7 @@
         self.demand = demand.Demand()
         self.holdings: list[holding.Holding] = []
         self.empty_until_ms: dict[_Name, float] = {}
+        self.fills: dict[_Name, fill.Fill] = {}
 
     def tokens(self, now_ms: float) -> int:
         """Return how many tokens can be spent now."""
--- a/src/pomeloward/orders/ledger.py
+++ b/src/pomeloward/orders/ledger.py
@@ -46,9 +46,15 @@
         self._entries = entries.Entries(self._keep_ms)
         self._is_ready = False
 
-    def begin(self, exported: bytes, now_ms: float) -> None:
-        """Take over the state of a predecessor."""
-        known = msgspec.msgpack.decode(exported, type=ledgerstate.LedgerState)
+    def begin(self, exported: bytes, now_ms: float) -> bool:
+        """Take over the state of a predecessor; false if unreadable."""
+        try:
+            known = msgspec.msgpack.decode(
+                exported, type=ledgerstate.LedgerState
+            )
+        except msgspec.DecodeError:
+            # There is none, or another release wrote it.
+            return False
         self._complete_from_ms = model.outstanding_until_ms(
             now_ms, known.incomplete_ms
         )
@@ -71,6 +77,7 @@
                 ),
             )
         self._is_ready = True
+        return True
 
     def recover(self, known: recovery.Recovery, now_ms: float) -> None:
         """Take over what voters remember."""
--- a/src/pomeloward/orders/shell.py
+++ b/src/pomeloward/orders/shell.py
@@ -86,9 +86,9 @@
         layout = orderscope.layout_of(self._view())
         held = ledger.Ledger(epoch, layout, now_ms)
         self._ledgers[partition] = held
-        if state:
-            held.begin(state, now_ms)
-        elif self._group is None:
+        if held.begin(state or b"", now_ms):
+            return
+        if self._group is None:
             self._waiting.append((partition, epoch))
         else:
             self._group.start_soon(self._recover, partition, epoch)
