Check the epoch of buckets and ledgers before each act

Cause: state of an earlier epoch could be used between the start of a new epoch and its callback, although another owner may have been in between. Change: both shells compare the epoch that ownership holds with that of the state.

--- a/src/pomeloward/budget/shell.py
+++ b/src/pomeloward/budget/shell.py
@@ -28,6 +28,7 @@
         self._ownership = ownership
         self._places = places
         self._lender = lender.Lender()
+        self._epochs: dict[model.PartitionId, model.Epoch] = {}
         peers.handle(messages.TakeTokens, self.on_take)
         peers.handle(messages.ReportTokens, self.on_report)
 
@@ -39,14 +40,17 @@
         now_ms: float,
     ) -> None:
         """Start to own a partition."""
+        self._epochs[partition] = epoch
         self._lender.acquire(partition, state, now_ms)
 
     def on_lost(self, partition: model.PartitionId, now_ms: float) -> None:
         """Stop to own a partition."""
+        self._epochs.pop(partition, None)
         self._lender.lose(partition)
 
     def export(self, partition: model.PartitionId, now_ms: float) -> bytes:
         """Return the state for a successor; nothing is lent after it."""
+        self._epochs.pop(partition, None)
         return self._lender.export(partition, now_ms)
 
     def on_configuration(self, now_ms: float) -> None:
@@ -91,4 +95,7 @@
         return self.on_take(host, question, now_ms)
 
     def _holds(self, partition: model.PartitionId, now_ms: float) -> bool:
-        return self._ownership.holds(partition, now_ms) is not None
+        # Buckets of an earlier epoch are out of date where another host was
+        # the owner in between.
+        epoch = self._ownership.holds(partition, now_ms)
+        return epoch is not None and epoch == self._epochs.get(partition)
--- a/src/pomeloward/orders/ledger.py
+++ b/src/pomeloward/orders/ledger.py
@@ -33,7 +33,7 @@
         horizon_ms: float = horizon.HORIZON_MS,
     ) -> None:
         """Create the ledger of an owner that knows nothing yet."""
-        self._epoch = epoch
+        self.epoch = epoch
         self._layout = layout
         self._horizon_ms = horizon_ms
         self._keep_ms = horizon.retention_ms(horizon_ms)
@@ -114,7 +114,7 @@
             return messages.ClaimAnswer(verdict=_VERDICT.UNAVAILABLE)
         if order.issued is None and order.layout != self._layout:
             return messages.ClaimAnswer(verdict=_VERDICT.UNAVAILABLE)
-        if order.issued is not None and order.issued.epoch > self._epoch:
+        if order.issued is not None and order.issued.epoch > self.epoch:
             return messages.ClaimAnswer(verdict=_VERDICT.UNAVAILABLE)
         found = self._entries.find(order.name, now_ms)
         if found is None:
@@ -232,7 +232,7 @@
         return messages.ClaimAnswer(
             verdict=_VERDICT.RUN,
             lifetime_ms=horizon.PERMIT_MS,
-            epoch=self._epoch,
+            epoch=self.epoch,
             owner_now_ms=now_ms,
         )
 
--- a/src/pomeloward/orders/shell.py
+++ b/src/pomeloward/orders/shell.py
@@ -181,9 +181,10 @@
     def _held(
         self, partition: model.PartitionId, now_ms: float
     ) -> ledger.Ledger | None:
-        if self._holdings.holds(partition, now_ms) is None:
-            return None
-        return self._ledgers.get(partition)
+        epoch = self._holdings.holds(partition, now_ms)
+        held = self._ledgers.get(partition)
+        # A ledger of an earlier epoch may lack what an owner between did.
+        return held if held and held.epoch == epoch else None
 
     async def _recover(
         self, partition: model.PartitionId, epoch: model.Epoch
