--- a/src/pomeloward/orders/shell.py
+++ b/src/pomeloward/orders/shell.py
@@ -86,9 +86,9 @@
         layout = orderscope.layout_of(self._view())
         held = ledger.Ledger(epoch, layout, now_ms)
         self._ledgers[partition] = held
-        if state:
-            held.begin(state, now_ms)
-        elif self._group is None:
+        if held.begin(state or b"", now_ms):
+            return
+        if self._group is None:
             self._waiting.append((partition, epoch))
         else:
             self._group.start_soon(self._recover, partition, epoch)
@@ -181,9 +181,10 @@
     def _held(
         self, partition: model.PartitionId, now_ms: float
     ) -> ledger.Ledger | None:
-        if self._holdings.holds(partition, now_ms) is None:
-            return None
-        return self._ledgers.get(partition)
+        epoch = self._holdings.holds(partition, now_ms)
+        held = self._ledgers.get(partition)
+        # A ledger of an earlier epoch may lack what an owner between did.
+        return held if held and held.epoch == epoch else None
 
     async def _recover(
         self, partition: model.PartitionId, epoch: model.Epoch
