--- a/src/pomeloward/service/controller.py
+++ b/src/pomeloward/service/controller.py
@@ -136,11 +136,11 @@
         stopped = {record.id for record in records if not record.cap(now_ms)}
         holders = [
             host
-            for host in self.ledger.hosts()
+            for host in (self.ledger.hosts() if stopped else ())
             if not stopped.isdisjoint(self.ledger.held(host))
         ]
         return self._demand.nudges(
-            self._lending(now_ms).free(), holders, now_ms
+            lambda: self._lending(now_ms).free(), holders, now_ms
         )
 
     def _weight(self, team: model.TeamId) -> float:
--- a/src/pomeloward/service/demand.py
+++ b/src/pomeloward/service/demand.py
@@ -99,14 +99,15 @@
 
     def nudges(
         self,
-        free: int,
+        free: collections.abc.Callable[[], int],
         stopped: collections.abc.Iterable[model.HostId],
         now_ms: float,
     ) -> list[model.HostId]:
         """Return hosts to nudge.
 
         These are the holders of slots that they must give back, and as many
-        hosts with unmet demand as there are free slots.
+        hosts with unmet demand as there are free slots, which are counted
+        only then.
         """
         names = list(stopped)
         live = self._live(now_ms)
@@ -116,10 +117,14 @@
                 for host, record in live.items()
                 if record.granted > record.allotted
             ]
-        short = [host for host in live if self._unmet(live[host]) > 0]
-        short.sort(key=lambda host: -self._unmet(live[host]))
+        short = [
+            host for host, record in live.items() if self._unmet(record) > 0
+        ]
+        if short:
+            short.sort(key=lambda host: -self._unmet(live[host]))
+            names += short[: free()]
         chosen = []
-        for host in names + short[:free]:
+        for host in names:
             record = self._hosts.get(host)
             if record is None or now_ms - record.nudged_ms < _NUDGE_GAP_MS:
                 continue
--- a/src/pomeloward/service/detector.py
+++ b/src/pomeloward/service/detector.py
@@ -40,6 +40,7 @@
 
     def __init__(self, tuning: tuning_.Tuning) -> None:
         self._tuning = tuning
+        self._streaks: dict[model.TargetId, int] = {}
 
     def reference(self, records: _Records, now_ms: float) -> float | None:
         """Return the usual mean log latency of warm targets, in nats."""
@@ -70,14 +71,16 @@
             ]
             self._judge_interval(judged, sums, worst)
         unreachable = self._unreachable(judged, now_ms)
+        self._streaks = {
+            target: self._streaks.get(target, 0) + 1 for target in worst
+        }
         findings = []
         for record in judged:
-            finding = worst.get(record.id, Finding.FINE)
-            record.streak = 0 if finding is Finding.FINE else record.streak + 1
+            streak = self._streaks.get(record.id, 0)
             if record.id in unreachable:
                 findings.append((record, Finding.GRAY))
-            elif record.streak >= self._tuning.confirmations:
-                findings.append((record, finding))
+            elif streak >= self._tuning.confirmations:
+                findings.append((record, worst[record.id]))
         return findings
 
     def _judge_interval(
--- a/src/pomeloward/service/handover.py
+++ b/src/pomeloward/service/handover.py
@@ -79,12 +79,15 @@
         handed = {target.id: target for target in self.targets}
         for record in records:
             target = handed.get(record.id)
-            is_out = record.state.is_excluded
+            if record.state.is_excluded:
+                continue
             if target is None:
-                if not is_out:
-                    record.fall(now_ms)
+                record.fall(now_ms)
                 continue
-            record.change(targetstate.TargetState(target.state), now_ms)
+            state = targetstate.TargetState(target.state)
+            if state.is_excluded:
+                state = targetstate.TargetState.COLD
+            record.change(state, now_ms)
             record.level = target.level
             record.adopted = target.adopted
             record.ejections = target.ejections
--- a/src/pomeloward/service/hostslots.py
+++ b/src/pomeloward/service/hostslots.py
@@ -65,10 +65,14 @@
         """Return the targets avoided by this host's own judgement."""
         return self._avoidance.active(self._slots, self._avoid_slots, now_ms)
 
+    def has_loan(self, now_ms: float) -> bool:
+        """Tell whether the loan of the slots has not lapsed."""
+        return self._permission.is_valid(now_ms)
+
     def may_start(self, target: model.TargetId, now_ms: float) -> bool:
         """Tell whether a request that has a slot may be sent now."""
         return (
-            self._permission.is_valid(now_ms)
+            self.has_loan(now_ms)
             and target not in self._stopped
             and self._granted.get(target, 0) > 0
         )
@@ -81,7 +85,7 @@
         now_ms: float,
     ) -> tuple[int, model.TargetId] | None:
         """Take an idle slot; return the number of the run and its target."""
-        if not self._permission.is_valid(now_ms):
+        if not self.has_loan(now_ms):
             return None
         out = self._stopped | self.avoided(now_ms)
         idle = [
@@ -201,7 +205,7 @@
         return demand
 
     def _idle(self, now_ms: float) -> int:
-        if not self._permission.is_valid(now_ms):
+        if not self.has_loan(now_ms):
             return 0
         return sum(
             max(0, count - self.runs.in_use.get(target, 0))
@@ -213,7 +217,7 @@
         self, avoided: frozenset[model.TargetId], now_ms: float
     ) -> None:
         """Drop idle slots beyond the demand and the reserve."""
-        is_valid = self._permission.is_valid(now_ms)
+        is_valid = self.has_loan(now_ms)
         keep = sum(self.waiting.values()) + self._reserve
         out = avoided | self._stopped
         for target, count in list(self._granted.items()):
--- a/src/pomeloward/service/lending.py
+++ b/src/pomeloward/service/lending.py
@@ -24,10 +24,13 @@
     ) -> None:
         self._records = records
         self._shares = shares
-        self._caps = {record.id: record.cap(now_ms) for record in records}
-        self._used = {
-            record.id: self._in_use(record, ledger) for record in records
-        }
+        self._caps: dict[model.TargetId, int] = {}
+        self._used: dict[model.TargetId, int] = {}
+        for record in records:
+            is_warm = record.state is targetstate.TargetState.WARM
+            count = ledger.live if is_warm else ledger.count
+            self._caps[record.id] = record.cap(now_ms)
+            self._used[record.id] = count(record.id)
         self._sites: dict[model.SiteId, int] = {}
         if shares:
             for record in records:
@@ -101,11 +104,3 @@
             share = self._shares.get(site, 0.0)
             site_load = (self._sites[site] + 1) / max(share, 1e-9)
         return site_load, self._used[record.id] / self._caps[record.id]
-
-    @staticmethod
-    def _in_use(
-        record: targetrecord.TargetRecord, ledger: ledger_.Ledger
-    ) -> int:
-        if record.state is targetstate.TargetState.WARM:
-            return ledger.live(record.id)
-        return ledger.count(record.id)
--- a/src/pomeloward/service/probing.py
+++ b/src/pomeloward/service/probing.py
@@ -13,6 +13,8 @@
 _IDLE_MS = 10_000.0
 # A probe costs a host and the target about 25 ms.
 _PROBE_GAP_MS = 1_000.0
+# Targets are looked through this often, not at every report.
+_CHOOSE_GAP_MS = 100.0
 
 
 class Probing:
@@ -26,6 +28,7 @@
     def __init__(self, tuning: tuning_.Tuning) -> None:
         self._tuning = tuning
         self._seen_ms: dict[model.TargetId, float] = {}
+        self._chosen_ms = float("-inf")
         self._probed_ms: dict[model.TargetId, float] = {}
 
     def note(self, target: model.TargetId, now_ms: float) -> None:
@@ -38,6 +41,9 @@
         now_ms: float,
     ) -> tuple[int, ...]:
         """Return the indexes of the targets that one host should probe."""
+        if now_ms - self._chosen_ms < _CHOOSE_GAP_MS:
+            return ()
+        self._chosen_ms = now_ms
         chosen = []
         for index, record in enumerate(records):
             if record.state is _STATE.EJECTED:
--- a/src/pomeloward/service/targetrecord.py
+++ b/src/pomeloward/service/targetrecord.py
@@ -23,13 +23,13 @@
     def __init__(
         self, target: catalog.Target, slots: int, tuning: tuning_.Tuning
     ) -> None:
+        self.id = target.id
         self.target = target
         self.slots = slots
         self.state = _STATE.UNKNOWN
         self.level = 1
         # Slots that hosts brought along from the predecessor's loans.
         self.adopted = 0
-        self.streak = 0
         self.ejections = 0
         self.until_ms = 0.0
         self.not_before_ms = 0.0
@@ -39,11 +39,6 @@
         self._interval_ms = 0.0
         self._since = window.Sums()
 
-    @property
-    def id(self) -> model.TargetId:
-        """The target's id."""
-        return self.target.id
-
     @property
     def is_serving(self) -> bool:
         """Whether the target gets any requests of callers."""
@@ -72,7 +67,6 @@
         self.state = state
         self._entered_ms = now_ms
         self.level = 1
-        self.streak = 0
         self._restart(now_ms)
 
     def fall(self, now_ms: float) -> None:
