Answer addresses from the address book

Cause: addresses came from a list of ready hosts without teams. Change: the address package gives the answer, with the owners of a team's portions first.

--- a/src/pomeloward/gateway/assembly.py
+++ b/src/pomeloward/gateway/assembly.py
@@ -6,6 +6,7 @@
 import anyio
 import anyio.abc
 
+from pomeloward import address
 from pomeloward import catalog
 from pomeloward import dispatch
 from pomeloward import entry
@@ -15,7 +16,6 @@
 from pomeloward.gateway import condition
 from pomeloward.gateway import foundation as foundations
 from pomeloward.gateway import probe
-from pomeloward.gateway import readyaddresses
 from pomeloward.gateway import shared
 from pomeloward.gateway import targets
 
@@ -35,7 +35,6 @@
     ) -> None:
         self._settings = host_settings
         self._foundation = foundation
-        self._rng = rng
         self.open_work = entry.OpenWork()
         self.metrics = observe.Metrics()
         self.journal = observe.Journal()
@@ -69,6 +68,14 @@
         self.metrics.gauge(
             "pomeloward_open_requests", lambda: len(self.open_work)
         )
+        self._book = address.AddressBook(
+            host_settings.host,
+            model.RegionId(host_settings.region),
+            foundation.members,
+            foundation.owners,
+            rng,
+        )
+        self._book.configure(foundation.view)
         foundation.on_view(self._on_view)
 
     def application(self) -> entry.Application:
@@ -76,11 +83,6 @@
         limits = self._settings.limits
         parts = self.shared
         gatekeeper = entry.Gatekeeper(self.condition, limits)
-        book = readyaddresses.ReadyAddresses(
-            lambda: self._foundation.view,
-            self._foundation.members,
-            self._rng,
-        )
         return entry.Application(
             self.condition,
             entry.Handler(
@@ -92,7 +94,7 @@
                 self._dispatcher,
                 self.open_work,
                 self.recorder,
-                book,
+                self._book,
                 limits,
             ),
             entry.WebsocketHandler(
@@ -105,7 +107,11 @@
                 limits,
             ),
             entry.Admin(
-                self.condition, book, parts.orders, self.metrics, self.journal
+                self.condition,
+                self._book,
+                parts.orders,
+                self.metrics,
+                self.journal,
             ),
             self.recorder,
             limits,
@@ -129,6 +135,7 @@
                 await self._links.aclose()
 
     def _on_view(self, view: catalog.View) -> None:
+        self._book.configure(view)
         ended = self.open_work.end_withdrawn(view)
         if ended:
             self.recorder.decision(
