Do not try again under a run permit that has lapsed

Cause: after the run permit of an order had ended, up to three more slots were taken for attempts that could never be sent. Change: a lapsed run permit is final, a lapsed slot is not. Measured: pytest tests/dispatch, 22 passed in 4.2 s.

--- a/src/pomeloward/dispatch/attempt.py
+++ b/src/pomeloward/dispatch/attempt.py
@@ -82,6 +82,8 @@
         if not self.hold.is_valid(now_ms):
             raise failures.PermissionLapsed("the slot ended before sending")
         if not self._request.may_send(now_ms):
-            raise failures.PermissionLapsed("the run permit ended")
+            raise failures.PermissionLapsed(
+                "the run permit ended", is_final=True
+            )
         self.is_sent = True
         self._request.evidence.mark_sent()
--- a/src/pomeloward/dispatch/failure.py
+++ b/src/pomeloward/dispatch/failure.py
@@ -14,19 +14,28 @@
 
 
 class PermissionLapsed(model.PomelowardError):
-    """A slot or run permit ended before the first byte was sent."""
+    """A slot or run permit ended before the first byte was sent.
+
+    A lapsed slot can be had again; ``is_final`` tells of a run permit.
+    """
+
+    def __init__(self, detail: str, is_final: bool = False) -> None:
+        super().__init__(detail)
+        self.is_final = is_final
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failure:
     """A failed attempt: evidence on the target and on the run.
 
-    ``proof`` is None when the request may have run on the target.
+    ``proof`` is None when the request may have run on the target. After a
+    final failure no other attempt can be sent.
     """
 
     outcome: service.Outcome
     refusal: model.Refusal
     proof: model.NotRunProof | None
+    is_final: bool = False
 
 
 def classify_error(error: Exception, is_sent: bool) -> Failure:
@@ -45,6 +54,7 @@
                 model.ErrorKind.NO_CAPACITY, str(error), retry_after_ms=1_000
             ),
             proof,
+            error.is_final,
         )
     if isinstance(error, httpx.PoolTimeout):
         outcome = service.Outcome.CANCELLED
--- a/src/pomeloward/dispatch/retryrule.py
+++ b/src/pomeloward/dispatch/retryrule.py
@@ -23,7 +23,7 @@
     A request that is not idempotent is only sent again with a proof that
     the attempt did not run.
     """
-    if failure.proof is None and not is_idempotent:
+    if failure.is_final or (failure.proof is None and not is_idempotent):
         return False
     if not can_replay or attempts >= MAX_ATTEMPTS or now_ms >= deadline_ms:
         return False
--- a/tests/dispatch/test_decisions.py
+++ b/tests/dispatch/test_decisions.py
@@ -153,3 +153,16 @@
         fast.on_request()
         fast.on_latency(0.5)
     assert fast.delay_ms == 10.0
+
+
+def test_lapsed_run_permit_is_not_tried_again():
+    """Guards against attempts under a permit that never comes back."""
+    lapsed = failure.PermissionLapsed("x", is_final=True)
+    failed = failure.classify_error(lapsed, is_sent=False)
+    assert failed.proof is not None
+    budget = retrybudget.RetryBudget(0.0)
+    assert not retryrule.should_retry(
+        failed, False, True, 1, budget, 0.0, 1_000.0
+    )
+    slot = failure.classify_error(failure.PermissionLapsed("x"), False)
+    assert retryrule.should_retry(slot, False, True, 1, budget, 0.0, 1_000.0)
