Wait for owned partitions before the demo's traffic

Cause: hosts are ready about 3 s before partitions have owners at a first start, since voters are silent for one lease; callers without issued ids used their own keys and got order_unknown (6 of 825 requests). A caller with a withdrawn key reported connect errors where it had got 401. Change: the launcher waits until all partitions are owned; the caller asks longer for ids and reports a refused key.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -171,8 +171,8 @@
     ready_s = await anyio.to_thread.run_sync(running.wait_ready, 20.0)
     demo.note(
         True,
-        f"{HOST_COUNT} entry hosts in {len(running.plan.zones)} zones ready "
-        f"after {ready_s:.1f} s",
+        f"{HOST_COUNT} entry hosts in {len(running.plan.zones)} zones ready, "
+        f"all partitions owned, after {ready_s:.1f} s",
     )
     await demo.run()
     return all(is_good for is_good, _ in demo.lines)
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -11,7 +11,7 @@
 CALLER_PORT = 8_100
 PEER_PORT = 8_200
 TARGET_PORT = 9_000
-_PARTITIONS = 64
+PARTITIONS = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,7 +111,7 @@
 
 def records(plan: Deployment, host_count: int) -> list[catalog.Record]:
     """Return the whole configuration of a deployment."""
-    made: list[catalog.Record] = [catalog.Region(REGION, _PARTITIONS)]
+    made: list[catalog.Record] = [catalog.Region(REGION, PARTITIONS)]
     for zone in plan.zones:
         made.append(catalog.Zone(model.ZoneId(zone), REGION))
     made += _host_records(plan, host_count)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -69,13 +69,29 @@
         self._spawn(name, "pomeloward.commands.host", "--settings", str(path))
 
     def wait_ready(self, timeout_s: float) -> float:
-        """Wait until every host is ready; return the seconds it took."""
+        """Wait until every host is ready and every partition is owned.
+
+        Returns the seconds it took. After a first start voters are silent
+        for one lease, so ownership comes later than readiness.
+        """
         started_s = time.monotonic()
+        until_s = started_s + timeout_s
         for index in range(self.host_count):
             url = self.url(index) + "/.pomeloward/ready"
-            self._wait_for(url, started_s + timeout_s)
+            self._wait_for(url, until_s)
+        while not self.is_sole and not self._is_owned():
+            if time.monotonic() > until_s:
+                raise TimeoutError("partitions without an owner")
+            time.sleep(0.1)
         return time.monotonic() - started_s
 
+    def _is_owned(self) -> bool:
+        owned = sum(
+            self.host_status(index)["partitions"]
+            for index in range(self.host_count)
+        )
+        return bool(owned == deployment.PARTITIONS)
+
     def url(self, index: int) -> str:
         """Return the base URL of a host for callers."""
         address = deployment.host_address(index)
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -15,10 +15,16 @@
 _RETRY_PAUSE_S = 0.3
 _MAX_TRIES = 4
 _ORDER_ID_COUNT = 20
+# Without a fresh id a caller would need a key of its own.
+_ORDER_ID_TRIES = 20
 # Issued ids are used while they are fresh.
 _ORDER_ID_LIFETIME_S = 60.0
 
 
+class KeyRefused(Exception):
+    """A host refused the caller's key when asked for addresses."""
+
+
 @dataclasses.dataclass(slots=True)
 class Outcome:
     """What the caller got for one request, after its retries."""
@@ -99,6 +105,10 @@
             answer = await self._client.request(
                 method, base + path, headers=headers, content=content
             )
+        except KeyRefused:
+            outcome.status = 401
+            outcome.kind = "no_address"
+            return None
         except httpx.HTTPError as error:
             self._addresses = []
             outcome.status = 0
@@ -119,13 +129,15 @@
 
     async def _ask_order_ids(self) -> None:
         path = f"/.pomeloward/order-ids?count={_ORDER_ID_COUNT}"
-        for _ in range(_MAX_TRIES):
+        for _ in range(_ORDER_ID_TRIES):
             try:
                 answer = await self._client.post(
                     await self._address() + path,
                     headers={"Authorization": f"Bearer {self.key}"},
                     timeout=2.0,
                 )
+            except KeyRefused:
+                return
             except httpx.HTTPError:
                 self._addresses = []
                 continue
@@ -180,11 +192,13 @@
                     headers={"Authorization": f"Bearer {self.key}"},
                     timeout=2.0,
                 )
-                if answer.status_code == 200:
-                    self._keep(answer.json())
-                    return
             except httpx.HTTPError:
                 continue
+            if answer.status_code == 200:
+                self._keep(answer.json())
+                return
+            if answer.status_code == 401:
+                raise KeyRefused
         raise httpx.ConnectError("no address answered")
 
     def _keep(self, answer: dict[str, typing.Any]) -> None:
