--- a/bench/detection.py
+++ b/bench/detection.py
@@ -27,7 +27,7 @@
 _EPISODE_MS = 9_000.0
 _PAUSE_MS = 7_000.0
 _KINDS = ("slow", "errors", "cut")
-_Z_SCORES = (2.0, 2.5, 3.0, 3.5, 4.0, 4.5, 5.0, 6.0, 8.0)
+_Z_SCORES = (3.0, 3.5, 4.0, 4.5, 5.0, 5.5, 6.0)
 _COUNTS = (2, 3, 4)
 # Rate, factor of the slow route, and factor of all targets' latency.
 _STRAINS = (
--- a/src/pomeloward/service/controller.py
+++ b/src/pomeloward/service/controller.py
@@ -43,6 +43,7 @@
         self._probing = probing.Probing(tuning)
         self._predecessor: predecessor.Predecessor | None = None
         self._view: catalog.View | None = None
+        self._version = model.Version(0)
         self._is_started = False
 
     def start(
@@ -72,6 +73,7 @@
     def configure(self, view: catalog.View, now_ms: float) -> None:
         """Take a configuration; stopped targets get no loan from now on."""
         self._view = view
+        self._version = view.version
         service = view.service(self.service)
         if service is not None:
             self.targets.configure(
@@ -119,6 +121,7 @@
             sequence=report.sequence,
             is_agreed=True,
             clock_ms=now_ms,
+            version=self._version,
             grants=tuple(
                 (index, grants[target])
                 for index, target in enumerate(ids)
@@ -191,9 +194,9 @@
         for record in records:
             record.adopted += held.get(record.id, 0)
         age_ms = report.states_age_ms + now_ms - report.echo_ms
-        for record in waiting.join(
-            host, records, report.states, age_ms, now_ms
-        ):
+        is_current = report.states_version == self._version
+        states = report.states if is_current else b""
+        for record in waiting.join(host, records, states, age_ms, now_ms):
             self.targets.try_eject(record, now_ms)
 
     def _observe(
--- a/src/pomeloward/service/detector.py
+++ b/src/pomeloward/service/detector.py
@@ -6,6 +6,7 @@
 
 from pomeloward import model
 from pomeloward.service import outlier
+from pomeloward.service import routeeffect
 from pomeloward.service import targetrecord
 from pomeloward.service import targetstate
 from pomeloward.service import tuning as tuning_
@@ -65,10 +66,15 @@
             if record.state in (_STATE.WARM, _STATE.COLD)
         ]
         worst: dict[model.TargetId, Finding] = {}
+        span_ms = max(self._tuning.windows_ms)
+        spans = [record.window.sums(span_ms, now_ms) for record in judged]
+        effect = routeeffect.RouteEffect(spans)
         for interval_ms in self._tuning.windows_ms:
-            sums = [
-                record.window.sums(interval_ms, now_ms) for record in judged
-            ]
+            sums = []
+            for record, span in zip(judged, spans, strict=True):
+                own = record.window.sums(interval_ms, now_ms)
+                own.nats = effect.adjusted_nats(own, span)
+                sums.append(own)
             self._judge_interval(judged, sums, worst)
         unreachable = self._unreachable(judged, now_ms)
         self._streaks = {
--- a/src/pomeloward/service/evidencebook.py
+++ b/src/pomeloward/service/evidencebook.py
@@ -3,6 +3,8 @@
 import collections.abc
 import dataclasses
 
+import xxhash
+
 from pomeloward import model
 from pomeloward.service import baseline
 from pomeloward.service import messages
@@ -12,9 +14,15 @@
 
 # One sample counts at most this much, a factor of about 55.
 _MAX_NATS = 4.0
+_ROUTE_MASK = 0xFFFF
+# Targets and routes told apart between two reports of 500 ms; a row is about
+# 20 bytes. Beyond that, routes are no longer told apart.
+_MAX_ROWS = 256
 # A request under way counts once it takes this much longer than usual.
 _OVERDUE_NATS = 1.0
 
+_Key = tuple[model.TargetId, int]
+
 
 @dataclasses.dataclass(slots=True)
 class _Counts:
@@ -34,7 +42,7 @@
 
     def __init__(self) -> None:
         self._baseline = baseline.Baseline()
-        self._counts: dict[model.TargetId, _Counts] = {}
+        self._counts: dict[_Key, _Counts] = {}
         self._failures: dict[model.TargetId, int] = {}
 
     def finish(
@@ -52,7 +60,7 @@
         if outcome is _OUTCOME.CONNECT_FAILED:
             self._failures[target] = self._failures.get(target, 0) + 1
             return
-        counts = self._counts.setdefault(target, _Counts())
+        counts = self._counts.setdefault(self._key(target, route), _Counts())
         if outcome is _OUTCOME.SHED:
             counts.count += 1
             counts.sheds += 1
@@ -84,36 +92,44 @@
 
         ``running`` has target, route and age of the requests under way.
         """
-        overdue: dict[model.TargetId, tuple[int, float]] = {}
+        overdue: dict[_Key, tuple[int, float]] = {}
         for target, route, age_ms in running:
             nats = self._baseline.excess(route, age_ms)
             if nats is not None and nats >= _OVERDUE_NATS:
-                count, total = overdue.get(target, (0, 0.0))
-                overdue[target] = (count + 1, total + min(nats, _MAX_NATS))
+                key = self._key(target, route)
+                count, total = overdue.get(key, (0, 0.0))
+                overdue[key] = (count + 1, total + min(nats, _MAX_NATS))
         counts, self._counts = self._counts, {}
         failures, self._failures = self._failures, {}
+        failed = {(target, 0): count for target, count in failures.items()}
         return tuple(
             self._evidence(
-                index[target],
-                counts.get(target, _Counts()),
-                failures.get(target, 0),
-                overdue.get(target, (0, 0.0)),
+                index[key[0]],
+                key[1],
+                counts.get(key, _Counts()),
+                failed.get(key, 0),
+                overdue.get(key, (0, 0.0)),
             )
-            for target in sorted(
-                counts.keys() | failures.keys() | overdue.keys()
-            )
-            if target in index
+            for key in sorted(counts.keys() | failed.keys() | overdue.keys())
+            if key[0] in index
         )
 
+    def _key(self, target: model.TargetId, route: model.RouteId) -> _Key:
+        if len(self._counts) >= _MAX_ROWS:
+            return target, 0
+        return target, xxhash.xxh32_intdigest(route.encode()) & _ROUTE_MASK
+
     @staticmethod
     def _evidence(
         index: int,
+        route: int,
         counts: _Counts,
         failures: int,
         overdue: tuple[int, float],
     ) -> messages.Evidence:
         return messages.Evidence(
             index=index,
+            route=route,
             count=counts.count,
             errors=counts.errors,
             sheds=counts.sheds,
--- a/src/pomeloward/service/hostslots.py
+++ b/src/pomeloward/service/hostslots.py
@@ -17,8 +17,8 @@
 class HostSlots:
     """What a host may use of a service, by its controller's last answer.
 
-    Only the answer to the latest report is applied, and never one of an
-    older epoch. Sending a report gives idle slots up that are not needed.
+    Only the answer to the latest report is applied, and never one of an older
+    epoch. A report gives idle slots up.
     """
 
     def __init__(
@@ -48,6 +48,7 @@
         self._shunned: frozenset[model.TargetId] = frozenset()
         self._states = b""
         self._states_ms = float("-inf")
+        self._states_version = 0
         self._avoid_slots = 0
         self._reserve = 0
         self._permission = model.Permission(float("-inf"), 0.0)
@@ -99,9 +100,8 @@
                 self._shunned = frozenset(avoid)
             return None
         most = max(usable)[0]
-        target = self._rng.choice(
-            sorted(target for count, target in usable if count == most)
-        )
+        best = sorted(target for count, target in usable if count == most)
+        target = self._rng.choice(best)
         return self.runs.start(target, route, team, now_ms), target
 
     def release(
@@ -128,8 +128,8 @@
 
     def has_excess(self, now_ms: float) -> bool:
         """Tell whether there are idle slots to give back."""
-        spare = self._idle(now_ms) - sum(self.waiting.values())
-        return spare > self._reserve
+        needed = sum(self.waiting.values()) + self._reserve
+        return self._idle(now_ms) > needed
 
     def is_busy(self) -> bool:
         """Tell whether requests wait or run."""
@@ -159,12 +159,13 @@
             demand=tuple(sorted(self._demand().items())),
             evidence=self.evidence.take(self._index, self.runs.ages(now_ms)),
             avoided=tuple(
-                self._index[target]
-                for target in sorted(avoided)
-                if target in self._index
+                sorted(
+                    self._index[one] for one in avoided & self._index.keys()
+                )
             ),
             states=self._states,
             states_age_ms=min(now_ms - self._states_ms, 1e9),
+            states_version=self._states_version,
         )
 
     def apply(self, answer: messages.Answer) -> bool:
@@ -184,6 +185,7 @@
         )
         self._states = answer.states
         self._states_ms = self._asked_ms
+        self._states_version = answer.version
         self._avoid_slots = answer.avoid_slots
         self._reserve = answer.reserve
         return False
--- a/src/pomeloward/service/messages.py
+++ b/src/pomeloward/service/messages.py
@@ -7,15 +7,17 @@
 
 
 class Evidence(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """What a host saw of one target since its last report.
+    """What a host saw of one target and route since its last report.
 
-    ``index`` is the target's place in the controller's table. ``samples``
+    ``index`` is the target's place in the controller's table and ``route`` a
+    short hash of the route, 0 where routes are too many. ``samples``
     latencies add up to ``centinats`` (hundredths of a nat over the route's
     usual latency). ``running`` and ``running_centinats`` describe requests
     under way that already take longer than usual.
     """
 
     index: int
+    route: int = 0
     count: int = 0
     errors: int = 0
     sheds: int = 0
@@ -34,7 +36,8 @@
     on both, the answer only says what they are. ``held`` has pairs of index
     and slots, ``demand`` pairs of team and requests (waiting and running).
     ``states`` and ``states_age_ms`` are sent to a new controller: what the
-    host last heard of the targets, and how long before the report.
+    host last heard of the targets, how long before the report, and under
+    which version of the configuration.
     """
 
     service: model.ServiceId
@@ -49,6 +52,7 @@
     avoided: tuple[int, ...] = ()
     states: bytes = b""
     states_age_ms: float = 0.0
+    states_version: int = 0
 
 
 class Answer(peer.Message, frozen=True, tag="service-answer"):
@@ -65,6 +69,7 @@
     sequence: int
     is_agreed: bool
     clock_ms: float
+    version: int = 0
     targets: tuple[model.TargetId, ...] = ()
     grants: tuple[tuple[int, int], ...] = ()
     states: bytes = b""
--- a/src/pomeloward/service/outlier.py
+++ b/src/pomeloward/service/outlier.py
@@ -27,8 +27,8 @@
 ) -> float:
     """Return by how many nats a target is slower, 0 if not an outlier.
 
-    The spread of the others' means is widened for a target with fewer
-    samples than they have, as its mean is less certain by the square root.
+    The variance of the others' means is scaled to the target's own number
+    of samples, as the mean of fewer samples is less certain.
     """
     peers = [sums for sums in others if sums.samples >= tuning.min_count]
     if own.samples < tuning.min_count or len(peers) < tuning.min_peers:
@@ -39,9 +39,11 @@
     if excess < tuning.fall_nats:
         return 0.0
     deviation = statistics.median(abs(mean - median) for mean in means)
-    spread = max(_MAD_SCALE * deviation, tuning.spread_floor)
     usual = statistics.median(sums.samples for sums in peers)
-    spread *= math.sqrt(max(1.0, usual / own.samples))
+    variance = (_MAD_SCALE * deviation) ** 2
+    if own.samples < usual:
+        variance *= usual / own.samples
+    spread = math.sqrt(variance + tuning.spread_floor**2)
     return excess if excess / spread >= tuning.z_score else 0.0
 
 
--- a/src/pomeloward/service/predecessor.py
+++ b/src/pomeloward/service/predecessor.py
@@ -17,9 +17,11 @@
     A slot is like a token that is in one place: a host that joins brings its
     slots along, and what it returns may be lent again, so that no target has
     more in use than the predecessor lent. A target that a host lately saw
-    warm bears all its slots. For every other target the controller waits
-    until the predecessor's loans and the requests under them have ended, or
-    until every host has joined and thus accounts for all slots.
+    warm, under the configuration in force, bears all its slots; a changed
+    configuration may have let the target restart since. For every other
+    target the controller waits until the predecessor's loans and the
+    requests under them have ended, or until every host has joined and thus
+    accounts for all slots.
     """
 
     def __init__(
--- a/src/pomeloward/service/targetrecord.py
+++ b/src/pomeloward/service/targetrecord.py
@@ -145,7 +145,7 @@
         sums = self.window.sums(max(tuning.windows_ms), now_ms)
         if self._since.errors + self._since.sheds >= 2:
             return False
-        if reference is not None and sums.samples >= 2:
+        if reference is not None and sums.samples >= 3:
             excess = sums.nats / sums.samples - reference
             if excess >= tuning.min_nats:
                 return False
--- a/src/pomeloward/service/tuning.py
+++ b/src/pomeloward/service/tuning.py
@@ -32,8 +32,8 @@
     fall_ratio: float = 2.0
     min_count: int = 4
     min_peers: int = 4
-    # Spread of targets' mean log latency that is always assumed.
-    spread_floor: float = 0.2
+    # Differences between healthy targets that are always assumed, in nats.
+    spread_floor: float = 0.15
     min_error_ratio: float = 0.25
     min_errors: int = 4
     ramp_ms: float = 1_000.0
--- a/src/pomeloward/service/window.py
+++ b/src/pomeloward/service/window.py
@@ -9,13 +9,27 @@
 
 @dataclasses.dataclass(slots=True)
 class Sums:
-    """Sums of evidence over an interval; ``nats`` is a sum of samples."""
+    """Sums of evidence over an interval.
+
+    ``nats`` adds up the samples; ``routes`` has samples and nats by route.
+    """
 
     count: int = 0
     errors: int = 0
     sheds: int = 0
     samples: int = 0
     nats: float = 0.0
+    routes: dict[int, tuple[int, float]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def sample(self, route: int, samples: int, nats: float) -> None:
+        """Add latencies of one route."""
+        if samples:
+            known, total = self.routes.get(route, (0, 0.0))
+            self.routes[route] = (known + samples, total + nats)
+            self.samples += samples
+            self.nats += nats
 
 
 class Window:
@@ -31,7 +45,9 @@
         self._buckets: collections.deque[tuple[int, Sums]] = collections.deque(
             maxlen=self._length
         )
-        self._running: dict[model.HostId, tuple[int, float, float]] = {}
+        self._running: dict[
+            model.HostId, list[tuple[messages.Evidence, float]]
+        ] = {}
         self._failures: dict[model.HostId, float] = {}
 
     def add(
@@ -45,11 +61,9 @@
         sums.count += evidence.count
         sums.errors += evidence.errors
         sums.sheds += evidence.sheds
-        sums.samples += evidence.samples
-        sums.nats += evidence.centinats / 100
+        sums.sample(evidence.route, evidence.samples, evidence.centinats / 100)
         if evidence.running:
-            nats = evidence.running_centinats / 100
-            self._running[host] = (evidence.running, nats, now_ms)
+            self._running.setdefault(host, []).append((evidence, now_ms))
         if evidence.connect_failures:
             self._failures[host] = now_ms
 
@@ -77,12 +91,13 @@
             total.count += sums.count
             total.errors += sums.errors
             total.sheds += sums.sheds
-            total.samples += sums.samples
-            total.nats += sums.nats
-        for running, nats, seen_ms in self._running.values():
-            if seen_ms > now_ms - interval_ms:
-                total.samples += running
-                total.nats += nats
+            for route, (samples, nats) in sums.routes.items():
+                total.sample(route, samples, nats)
+        for rows in self._running.values():
+            for row, seen_ms in rows:
+                if seen_ms > now_ms - interval_ms:
+                    nats = row.running_centinats / 100
+                    total.sample(row.route, row.running, nats)
         return total
 
     def failing_hosts(
--- a/tests/service/views.py
+++ b/tests/service/views.py
@@ -10,8 +10,6 @@
 class FakeView:
     """One service whose targets lie in zones ``z0``, ``z1`` and so on."""
 
-    version = model.Version(1)
-
     def __init__(self, targets, slots, hosts, zones=3, floor_ratio=0.5):
         self.zones = {
             f"z{n}": catalog.Zone(f"z{n}", REGION) for n in range(zones)
@@ -32,6 +30,7 @@
             for n in range(hosts)
         ]
         self.share_map = {}
+        self.version = 1
 
     def service(self, service):
         return self.entry if service == SERVICE else None
--- a/tests/service/world.py
+++ b/tests/service/world.py
@@ -185,6 +185,7 @@
 
     def configure(self):
         """Let the controller take a changed configuration."""
+        self.view.version += 1
         self.controller.configure(self.view, self.controller_ms())
         stopped = self.view.stopped()
         for target in self.targets:
