--- a/src/pomeloward/catalog/actions.py
+++ b/src/pomeloward/catalog/actions.py
@@ -27,11 +27,12 @@
 class Build:
     """Build a configuration from the pages of a snapshot.
 
-    It takes seconds at the planned size, so it runs beside the loop.
+    It takes seconds at the planned size, so it runs beside the loop. The
+    list is emptied while it is read.
     """
 
     version: model.Version
-    pages: tuple[bytes, ...]
+    pages: list[bytes]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/pomeloward/catalog/shell.py
+++ b/src/pomeloward/catalog/shell.py
@@ -13,6 +13,7 @@
 from pomeloward.catalog import messages
 from pomeloward.catalog import pages
 from pomeloward.catalog import puller
+from pomeloward.catalog import records
 from pomeloward.catalog import snapshot
 from pomeloward.catalog import spreader
 
@@ -35,6 +36,7 @@
         self._peers = peers
         self._group: anyio.abc.TaskGroup | None = None
         self._subscribers: list[Subscriber] = []
+        self._building = anyio.Lock()
         peers.handle(messages.ChangePush, self._on_push)
         for question in (
             messages.VersionAsk,
@@ -78,14 +80,10 @@
     async def on_published_snapshot(
         self,
         version: model.Version,
-        shards: collections.abc.Sequence[bytes],
+        shards: list[bytes],
     ) -> None:
         """Take all shards of a snapshot from the platform."""
-        await self._build(
-            lambda: configuration.Configuration.of_records(
-                version, snapshot.decode_shards(shards)
-            )
-        )
+        await self._build(version, snapshot.decode_shards(_drained(shards)))
 
     def _on_push(
         self, host: model.HostId, notice: peer.Message, now_ms: float
@@ -142,24 +140,39 @@
         self._perform(done, now_ms)
 
     async def _build_pages(self, action: actions.Build) -> None:
-        await self._build(
-            lambda: configuration.Configuration.of_records(
-                action.version, pages.decode_pages(action.pages)
-            )
-        )
+        found = pages.decode_pages(_drained(action.pages))
+        await self._build(action.version, found)
 
     async def _build(
         self,
-        function: collections.abc.Callable[[], configuration.Configuration],
+        version: model.Version,
+        found: collections.abc.Iterator[records.Record],
     ) -> None:
-        """Build in a worker thread, so that the loop keeps answering."""
-        try:
-            whole = await anyio.to_thread.run_sync(function)
-        except model.ConfigurationError as error:
-            self._decisions.on_build_failed(str(error))
-            return
-        now_ms = _now_ms()
-        self._perform(self._decisions.on_built(whole, now_ms), now_ms)
+        """Build in a worker thread, so that the loop keeps answering.
+
+        One at a time: two whole configurations under construction would
+        take most of the memory that control may use.
+        """
+        async with self._building:
+            if version <= self.accepted_version():
+                self._decisions.on_build_failed("")
+                return
+            try:
+                whole = await anyio.to_thread.run_sync(
+                    configuration.Configuration.of_records, version, found
+                )
+            except model.ConfigurationError as error:
+                self._decisions.on_build_failed(str(error))
+                return
+            now_ms = _now_ms()
+            self._perform(self._decisions.on_built(whole, now_ms), now_ms)
+
+
+def _drained(payloads: list[bytes]) -> collections.abc.Iterator[bytes]:
+    """Free each payload as soon as it is read."""
+    payloads.reverse()
+    while payloads:
+        yield payloads.pop()
 
 
 def _now_ms() -> float:
--- a/src/pomeloward/catalog/spreader.py
+++ b/src/pomeloward/catalog/spreader.py
@@ -109,9 +109,10 @@
         return done
 
     def on_build_failed(self, reason: str) -> None:
-        """Note that a snapshot was malformed or broke a rule."""
+        """Note that a snapshot was malformed or broke a rule, or is old."""
         self._puller.is_building = False
-        self._store.rejection = reason
+        if reason:
+            self._store.rejection = reason
 
     def on_peer_version(
         self, host: model.HostId, version: model.Version, now_ms: float
--- a/src/pomeloward/catalog/transfer.py
+++ b/src/pomeloward/catalog/transfer.py
@@ -24,10 +24,10 @@
             and self._version in (0, answer.version)
         )
 
-    def on_page(self, answer: messages.PageAnswer) -> tuple[bytes, ...] | None:
+    def on_page(self, answer: messages.PageAnswer) -> list[bytes] | None:
         """Take an expected page; returns all pages after the last one."""
         self._version = answer.version
         self._pages.append(answer.payload)
         if len(self._pages) < answer.pages:
             return None
-        return tuple(self._pages)
+        return self._pages
--- a/src/pomeloward/platform/sink.py
+++ b/src/pomeloward/platform/sink.py
@@ -1,6 +1,5 @@
 """Where the reader delivers what it read."""
 
-import collections.abc
 import typing
 
 from pomeloward import model
@@ -18,6 +17,6 @@
     async def on_published_snapshot(
         self,
         version: model.Version,
-        shards: collections.abc.Sequence[bytes],
+        shards: list[bytes],
     ) -> None:
-        """Take all shards of a snapshot."""
+        """Take all shards of a snapshot; the list is emptied."""
--- a/tests/catalog/test_shell.py
+++ b/tests/catalog/test_shell.py
@@ -75,6 +75,24 @@
     assert seen == [5, 6]
 
 
+def test_older_snapshot_is_not_built_after_a_newer_one():
+    """Guards against two builds at once, which would take 50 MB."""
+
+    async def main():
+        decisions = catalog.Spreader("h1", [], random.Random(1))
+        shell = catalog.Catalog(decisions, Wire().peers("h1"))
+        newer = catalog.encode_shards(samples.configuration(6))
+        older = catalog.encode_shards(samples.configuration(5))
+        async with anyio.create_task_group() as group:
+            group.start_soon(shell.on_published_snapshot, 6, newer)
+            group.start_soon(shell.on_published_snapshot, 5, older)
+        assert shell.accepted_version() == 6
+        assert newer == []
+        assert len(older) == 1
+
+    anyio.run(main)
+
+
 def test_malformed_snapshot_is_reported():
     """Guards against a bad snapshot that ends the host."""
 
