--- /dev/null
+++ b/bench/measure/__init__.py
@@ -0,0 +1,1 @@
+"""The users' measures of a running fleet, beside baselines."""
