--- a/src/pomeloward/budget/borrower.py
+++ b/src/pomeloward/budget/borrower.py
@@ -43,6 +43,8 @@
         """
         self._next_number = rng.getrandbits(52)
         self._wallets: dict[model.TeamId, wallet.Wallet] = {}
+        # Teams with loans, in a stable order; a host sees many more teams.
+        self._borrowing: dict[model.TeamId, None] = {}
         self._questions: dict[int, _Question] = {}
         self._avoid_until_ms: dict[model.HostId | None, float] = {}
 
@@ -120,6 +122,7 @@
         permission = model.Permission(question.asked_at_ms, answer.lifetime_ms)
         if not permission.is_valid(now_ms):
             return 0
+        self._borrowing[source.portion.team] = None
         known.holdings.append(
             holding.Holding(answer.number, source, permission, answer.granted)
         )
@@ -154,30 +157,29 @@
     def sweep(
         self, now_ms: float
     ) -> list[tuple[place.Place, messages.ReportTokens]]:
-        """Give back idle tokens, forget what lapsed, return the notices."""
+        """Give back idle tokens, drop lapsed loans, return the notices."""
+        notices = []
+        for team in list(self._borrowing):
+            known = self._wallets[team]
+            for source in known.give_back(now_ms, _RETURN_AFTER_MS):
+                notice = self.report(source, now_ms)
+                if notice:
+                    notices.append((source, notice))
+            known.prune(now_ms)
+            if not known.holdings:
+                del self._borrowing[team]
+        return notices
+
+    def forget(self, now_ms: float) -> None:
+        """Forget teams without recent demand, and old timeouts."""
         self._avoid_until_ms = {
             owner: until_ms
             for owner, until_ms in self._avoid_until_ms.items()
             if until_ms > now_ms
         }
-        notices = []
         for team, known in list(self._wallets.items()):
-            idle = [
-                held
-                for held in known.holdings
-                if held.kept
-                and now_ms - held.permission.asked_at_ms >= _RETURN_AFTER_MS
-            ]
-            for held in idle:
-                held.give_back()
-            for source in {held.source for held in idle}:
-                notice = self.report(source, now_ms)
-                if notice:
-                    notices.append((source, notice))
-            known.prune(now_ms)
             if known.is_unused(now_ms):
                 del self._wallets[team]
-        return notices
 
     def _wallet(self, team: model.TeamId) -> wallet.Wallet:
         if team not in self._wallets:
--- a/src/pomeloward/budget/client.py
+++ b/src/pomeloward/budget/client.py
@@ -19,6 +19,7 @@
 # left after the longest wait.
 _ASK_TIMEOUT_MS = 100.0
 _SWEEP_MS = 50.0
+_SWEEPS_TO_FORGET = 100
 
 
 class _Shared:
@@ -65,9 +66,11 @@
             self._group = group
             task_status.started()
             while True:
-                await anyio.sleep(_SWEEP_MS / 1000)
-                for source, notice in self._tokens.sweep(_now_ms()):
-                    self._tell(source, notice)
+                for _ in range(_SWEEPS_TO_FORGET):
+                    await anyio.sleep(_SWEEP_MS / 1000)
+                    for source, notice in self._tokens.sweep(_now_ms()):
+                        self._tell(source, notice)
+                self._tokens.forget(_now_ms())
 
     async def take(
         self, team: model.TeamId
--- a/src/pomeloward/budget/wallet.py
+++ b/src/pomeloward/budget/wallet.py
@@ -4,6 +4,7 @@
 from pomeloward.budget import fill
 from pomeloward.budget import holding
 from pomeloward.budget import messages
+from pomeloward.budget import place
 
 _Name = tuple[str, int]
 
@@ -32,6 +33,17 @@
                 return held
         return None
 
+    def give_back(self, now_ms: float, after_ms: float) -> list[place.Place]:
+        """Keep no token that was idle for a time; returns the sources."""
+        idle = [
+            held
+            for held in self.holdings
+            if held.kept and now_ms - held.permission.asked_at_ms >= after_ms
+        ]
+        for held in idle:
+            held.give_back()
+        return list(dict.fromkeys(held.source for held in idle))
+
     def prune(self, now_ms: float) -> None:
         """Drop loans that have lapsed; nothing is left to tell of them."""
         self.holdings = [
