--- a/src/pomeloward/service/controller.py
+++ b/src/pomeloward/service/controller.py
@@ -136,23 +136,23 @@
     def nudges(self, now_ms: float) -> list[model.HostId]:
         """Return the hosts that should report now, to get or give slots."""
         records = self.targets.records
-        stopped = {record.id for record in records if not record.cap(now_ms)}
+        stopped = {record.id for record in records if not record.cap()}
         holders = [
             host
             for host in (self.ledger.hosts() if stopped else ())
             if not stopped.isdisjoint(self.ledger.held(host))
         ]
         return self._demand.nudges(
-            lambda: self._lending(now_ms).free(), holders, now_ms
+            lambda: self._lending().free(), holders, now_ms
         )
 
     def _weight(self, team: model.TeamId) -> float:
         entry = self._view.team(team) if self._view is not None else None
         return entry.weight if entry is not None else 1.0
 
-    def _lending(self, now_ms: float) -> lending.Lending:
+    def _lending(self) -> lending.Lending:
         return lending.Lending(
-            self.targets.records, self.ledger, self.targets.shares, now_ms
+            self.targets.records, self.ledger, self.targets.shares
         )
 
     def _lend(
@@ -167,9 +167,9 @@
         """
         self.ledger.set(host, held, now_ms)
         goal, reserve = self._demand.goal(
-            host, self.targets.capacity(now_ms), self._weight, now_ms
+            host, self.targets.capacity(), self._weight, now_ms
         )
-        grants = self._lending(now_ms).choose(
+        grants = self._lending().choose(
             held, self._demand.avoided(host), goal, self._rng
         )
         upper = {
--- a/src/pomeloward/service/handover.py
+++ b/src/pomeloward/service/handover.py
@@ -19,7 +19,6 @@
     adopted: int
     ejections: int
     until_in_ms: float
-    not_before_in_ms: float
 
 
 class HandedLoan(msgspec.Struct, frozen=True, array_like=True):
@@ -58,7 +57,6 @@
                     record.adopted,
                     record.ejections,
                     record.until_ms - now_ms,
-                    record.not_before_ms - now_ms,
                 )
                 for record in records
             ),
@@ -92,7 +90,6 @@
             record.adopted = target.adopted
             record.ejections = target.ejections
             record.until_ms = now_ms + target.until_in_ms
-            record.not_before_ms = now_ms + target.not_before_in_ms * drift
         for loan in self.loans:
             ledger.restore(
                 loan.host,
--- a/src/pomeloward/service/hostslots.py
+++ b/src/pomeloward/service/hostslots.py
@@ -17,8 +17,7 @@
 class HostSlots:
     """What a host may use of a service, by its controller's last answer.
 
-    Only the answer to the latest report is applied, and never one of an older
-    epoch. A report gives idle slots up.
+    Only the answer to the latest report and epoch is applied.
     """
 
     def __init__(
--- a/src/pomeloward/service/lending.py
+++ b/src/pomeloward/service/lending.py
@@ -20,7 +20,6 @@
         records: Records,
         ledger: ledger_.Ledger,
         shares: Shares,
-        now_ms: float,
     ) -> None:
         self._records = records
         self._shares = shares
@@ -29,7 +28,7 @@
         for record in records:
             is_warm = record.state is targetstate.TargetState.WARM
             count = ledger.live if is_warm else ledger.count
-            self._caps[record.id] = record.cap(now_ms)
+            self._caps[record.id] = record.cap()
             self._used[record.id] = count(record.id)
         self._sites: dict[model.SiteId, int] = {}
         if shares:
--- a/src/pomeloward/service/targetrecord.py
+++ b/src/pomeloward/service/targetrecord.py
@@ -32,7 +32,6 @@
         self.adopted = 0
         self.ejections = 0
         self.until_ms = 0.0
-        self.not_before_ms = 0.0
         self.window = window.Window(tuning.evaluate_ms, max(tuning.windows_ms))
         self._tuning = tuning
         self._entered_ms = 0.0
@@ -44,38 +43,26 @@
         """Whether the target gets any requests of callers."""
         return self.state in (_STATE.WARM, _STATE.COLD, _STATE.TRIAL)
 
-    def cap(self, now_ms: float) -> int:
+    def cap(self) -> int:
         """Return how many slots may be in use over all hosts."""
         if self.state is _STATE.WARM:
             return self.slots
         if self.state is _STATE.UNKNOWN:
             return min(self.adopted, self.slots)
-        if not self.is_serving or now_ms < self.not_before_ms:
+        if not self.is_serving:
             return 0
         return 1 if self.state is _STATE.TRIAL else min(self.level, self.slots)
 
     def change(self, state: targetstate.TargetState, now_ms: float) -> None:
-        """Enter a state.
-
-        Hosts remember for ``hint_ms`` that a target was warm, and a new
-        controller believes them; until then it gets no cold start.
-        """
-        if self.state is _STATE.WARM:
-            self.not_before_ms = model.outstanding_until_ms(
-                now_ms, self._tuning.hint_ms
-            )
+        """Enter a state."""
         self.state = state
         self._entered_ms = now_ms
         self.level = 1
         self._restart(now_ms)
 
     def fall(self, now_ms: float) -> None:
-        """Begin slow start again after a silent fall from warm to cold.
-
-        Its requests go on, so there is nothing to wait for.
-        """
+        """Begin slow start again after a silent fall from warm to cold."""
         self.change(_STATE.COLD, now_ms)
-        self.not_before_ms = now_ms
         self.window.clear()
 
     def eject(self, now_ms: float, rng: random.Random) -> None:
--- a/src/pomeloward/service/targetset.py
+++ b/src/pomeloward/service/targetset.py
@@ -39,9 +39,9 @@
         """Return the table of targets that indexes refer to."""
         return tuple(record.id for record in self.records)
 
-    def capacity(self, now_ms: float) -> int:
+    def capacity(self) -> int:
         """Return the slots that may be in use now."""
-        return sum(record.cap(now_ms) for record in self.records)
+        return sum(record.cap() for record in self.records)
 
     def configure(
         self,
--- a/src/pomeloward/service/tuning.py
+++ b/src/pomeloward/service/tuning.py
@@ -20,8 +20,8 @@
     report_ms: float = 500.0
     # Longest time that a request holds its slot after its start.
     hold_ms: float = 10_000.0
-    # How long a host's memory of a warm target counts for a new controller.
-    # A target that stops being warm gets no trial before it has passed.
+    # How long a host's memory of a warm target counts for a new controller;
+    # no longer than the first backoff, so that it ends before any trial.
     hint_ms: float = 10_000.0
     windows_ms: tuple[float, ...] = (1_000.0, 2_000.0, 4_000.0)
     evaluate_ms: float = 250.0
--- a/tests/service/test_scenarios.py
+++ b/tests/service/test_scenarios.py
@@ -149,7 +149,7 @@
     for _ in range(5):
         world.exchange(first)
     assert world.controller.targets.records[0].adopted == 1
-    assert world.controller.targets.capacity(0.0) == 1
+    assert world.controller.targets.capacity() == 1
 
 
 def test_late_answer_is_not_applied():
@@ -304,15 +304,39 @@
         assert set(states(world).values()) == {STATE.WARM}, number
 
 
+def test_slow_route_ejects_no_target():
+    """Guards against targets that serve more of a slow route than others."""
+    world = world_.World()
+    warm(world)
+    for _ in range(20):
+        for index, record in enumerate(world.controller.targets.records):
+            for route, count, nats in ((1, 8, 0.0), (2, 2, 2.3)):
+                count = 12 if route == 2 and index == 0 else count
+                row = messages.Evidence(
+                    index,
+                    route=route,
+                    count=count,
+                    samples=count,
+                    centinats=round(100 * count * nats),
+                )
+                record.observe("h00", row, world.controller_ms())
+        world.advance(260)
+        world.controller.tick(world.controller_ms())
+        assert set(states(world).values()) == {STATE.WARM}
+
+
 @pytest.mark.parametrize(
     ("row", "state"),
     [
-        (messages.Evidence(0, count=8, samples=8, centinats=1_840), "EJECTED"),
-        (messages.Evidence(0, count=8, samples=8, errors=4), "EJECTED"),
-        (messages.Evidence(0, count=8, samples=8, centinats=760), "COLD"),
-        (messages.Evidence(0, count=8, samples=6, sheds=2), "COLD"),
-        (messages.Evidence(0, count=8, samples=8, centinats=200), "WARM"),
-        (messages.Evidence(0, count=8, samples=8, errors=1), "WARM"),
+        (
+            messages.Evidence(0, 0, count=8, samples=8, centinats=1_840),
+            "EJECTED",
+        ),
+        (messages.Evidence(0, 0, count=8, samples=8, errors=4), "EJECTED"),
+        (messages.Evidence(0, 0, count=8, samples=8, centinats=760), "COLD"),
+        (messages.Evidence(0, 0, count=8, samples=6, sheds=2), "COLD"),
+        (messages.Evidence(0, 0, count=8, samples=8, centinats=200), "WARM"),
+        (messages.Evidence(0, 0, count=8, samples=8, errors=1), "WARM"),
     ],
 )
 def test_one_target_apart_from_the_others(row, state):
