--- a/src/pomeloward/orders/ledger.py
+++ b/src/pomeloward/orders/ledger.py
@@ -33,7 +33,7 @@
         horizon_ms: float = horizon.HORIZON_MS,
     ) -> None:
         """Create the ledger of an owner that knows nothing yet."""
-        self._epoch = epoch
+        self.epoch = epoch
         self._layout = layout
         self._horizon_ms = horizon_ms
         self._keep_ms = horizon.retention_ms(horizon_ms)
@@ -46,9 +46,15 @@
         self._entries = entries.Entries(self._keep_ms)
         self._is_ready = False
 
-    def begin(self, exported: bytes, now_ms: float) -> None:
-        """Take over the state of a predecessor."""
-        known = msgspec.msgpack.decode(exported, type=ledgerstate.LedgerState)
+    def begin(self, exported: bytes, now_ms: float) -> bool:
+        """Take over the state of a predecessor; false if unreadable."""
+        try:
+            known = msgspec.msgpack.decode(
+                exported, type=ledgerstate.LedgerState
+            )
+        except msgspec.DecodeError:
+            # There is none, or another release wrote it.
+            return False
         self._complete_from_ms = model.outstanding_until_ms(
             now_ms, known.incomplete_ms
         )
@@ -71,6 +77,7 @@
                 ),
             )
         self._is_ready = True
+        return True
 
     def recover(self, known: recovery.Recovery, now_ms: float) -> None:
         """Take over what voters remember."""
@@ -107,7 +114,7 @@
             return messages.ClaimAnswer(verdict=_VERDICT.UNAVAILABLE)
         if order.issued is None and order.layout != self._layout:
             return messages.ClaimAnswer(verdict=_VERDICT.UNAVAILABLE)
-        if order.issued is not None and order.issued.epoch > self._epoch:
+        if order.issued is not None and order.issued.epoch > self.epoch:
             return messages.ClaimAnswer(verdict=_VERDICT.UNAVAILABLE)
         found = self._entries.find(order.name, now_ms)
         if found is None:
@@ -225,7 +232,7 @@
         return messages.ClaimAnswer(
             verdict=_VERDICT.RUN,
             lifetime_ms=horizon.PERMIT_MS,
-            epoch=self._epoch,
+            epoch=self.epoch,
             owner_now_ms=now_ms,
         )
 
