Let hosts with peers wait before they read the platform

Cause: a host that knows no others reads every shard, so that a fleet of 640 hosts that starts together would ask for 12,800 reads/s. Change: ReadBudget takes a spread, 10 s where there are seeds, for the first read of a host without a configuration; 0 stays the default.

--- a/src/pomeloward/platform/__init__.py
+++ b/src/pomeloward/platform/__init__.py
@@ -9,6 +9,9 @@
 from pomeloward.platform.hostentry import ListedState as ListedState
 from pomeloward.platform.http import HttpPlatform as HttpPlatform
 from pomeloward.platform.protocol import Platform as Platform
+from pomeloward.platform.readbudget import (
+    BOOTSTRAP_SPREAD_MS as BOOTSTRAP_SPREAD_MS,
+)
 from pomeloward.platform.readbudget import ReadBudget as ReadBudget
 from pomeloward.platform.reader import Reader as Reader
 from pomeloward.platform.readerchoice import ReaderChoice as ReaderChoice
--- a/src/pomeloward/platform/reader.py
+++ b/src/pomeloward/platform/reader.py
@@ -83,7 +83,7 @@
 
     async def _read_forever(self) -> None:
         while True:
-            if not self._choice.is_reader(_now_ms()):
+            if not self._may_read(_now_ms()):
                 await anyio.sleep(IDLE_MS / 1000)
                 continue
             try:
@@ -91,6 +91,12 @@
             except (model.PlatformUnavailable, model.ConfigurationError):
                 self._budget.on_failure(_now_ms())
 
+    def _may_read(self, now_ms: float) -> bool:
+        has_version = self._target.accepted_version() > 0
+        return self._choice.is_reader(now_ms) and (
+            has_version or self._budget.may_bootstrap(now_ms)
+        )
+
     async def _read_once(self) -> None:
         step = self._cursor.next_read(self._target.accepted_version())
         match step:
--- a/tests/platform/test_reader.py
+++ b/tests/platform/test_reader.py
@@ -45,14 +45,14 @@
         raise model.PeerUnavailable(host)
 
 
-def _run(script):
+def _run(script, spread_ms=0.0):
     """Run ``script(memory, sink)`` beside a reader on a paused clock."""
     memory, sink = fakes.MemoryPlatform(), Sink()
 
     async def main():
         choice = platform.ReaderChoice("h1", random.Random(1), 0.0)
         choice.on_hosts("south", {"h1": "opuwo"}, 0.0)
-        budget = platform.ReadBudget(random.Random(1), 0.0)
+        budget = platform.ReadBudget(random.Random(1), 0.0, spread_ms)
         async with memory.client() as client, anyio.create_task_group() as g:
             source = platform.HttpPlatform(client, "http://platform")
             reader = platform.Reader(source, choice, budget, sink, NoPeers())
@@ -134,6 +134,20 @@
     assert sink.view.version == 4
 
 
+def test_host_with_peers_does_not_read_at_once():
+    """Guards against 640 hosts that read every shard when they start."""
+
+    async def script(memory, sink):
+        memory.publish_snapshot(samples.configuration(4))
+        # The seed's part of the spread is 1.3 s.
+        await anyio.sleep(1.0)
+        assert memory.attempts == 0
+        await anyio.sleep(9.5)
+
+    _, sink = _run(script, platform.BOOTSTRAP_SPREAD_MS)
+    assert sink.view.version == 4
+
+
 def test_steady_reads_are_few():
     """Guards against readers that use up the platform's 2,000 reads/s.
 
