--- a/src/pomeloward/observe/__init__.py
+++ b/src/pomeloward/observe/__init__.py
@@ -2,6 +2,7 @@
 
 from pomeloward.observe.burnhistory import BurnHistory as BurnHistory
 from pomeloward.observe.burnlatency import BurnLatency as BurnLatency
+from pomeloward.observe.burnmeter import BurnMeter as BurnMeter
 from pomeloward.observe.burnrate import burn_rates as burn_rates
 from pomeloward.observe.burnrate import BurnRate as BurnRate
 from pomeloward.observe.burnreport import BurnReport as BurnReport
