Bound connections and let go of those that callers closed

Cause: hypercorn's own loop has no bound on connections, keeps the socket of a caller that has left until the keep-alive time ends, starts two tasks for each wait between requests, and answers malformed requests without a body.

--- a/src/pomeloward/entry/__init__.py
+++ b/src/pomeloward/entry/__init__.py
@@ -7,7 +7,7 @@
 from pomeloward.entry.openwork import OpenWork as OpenWork
 from pomeloward.entry.orderhandler import OrderHandler as OrderHandler
 from pomeloward.entry.recorder import Recorder as Recorder
-from pomeloward.entry.server import serve as serve
+from pomeloward.entry.server import Server as Server
 from pomeloward.entry.steps import AddressAnswer as AddressAnswer
 from pomeloward.entry.steps import AddressBook as AddressBook
 from pomeloward.entry.steps import Budget as Budget
--- /dev/null
+++ b/src/pomeloward/entry/connection.py
@@ -0,0 +1,80 @@
+"""One connection of a caller."""
+
+import asyncio
+import typing
+
+from hypercorn import config as configs
+from hypercorn import protocol
+from hypercorn import typing as hypercorn_typing
+from hypercorn import utils
+from hypercorn.asyncio import task_group
+from hypercorn.asyncio import tcp_server
+from hypercorn.asyncio import worker_context
+
+from pomeloward.entry import idletimer
+from pomeloward.entry import refusingprotocol
+
+
+class Connection(tcp_server.TCPServer):  # type: ignore[misc]
+    """hypercorn's connection with a cheaper wait between requests."""
+
+    def __init__(
+        self,
+        app: typing.Any,
+        config: configs.Config,
+        context: worker_context.WorkerContext,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        super().__init__(app, loop, config, context, {}, reader, writer)
+        self.idle_task = idletimer.IdleTimer(config.keep_alive_timeout)
+
+    async def run(self) -> None:
+        """Serve until the connection ends."""
+        socket = self.writer.get_extra_info("socket")
+        try:
+            client = utils.parse_socket_addr(
+                socket.family, socket.getpeername()
+            )
+            server = utils.parse_socket_addr(
+                socket.family, socket.getsockname()
+            )
+            async with task_group.TaskGroup(self.loop) as tasks:
+                self._task_group = tasks
+                arguments = (
+                    self.app,
+                    self.config,
+                    self.context,
+                    tasks,
+                    hypercorn_typing.ConnectionState(self.state),
+                    False,
+                    client,
+                    server,
+                    self.protocol_send,
+                )
+                self.protocol = protocol.ProtocolWrapper(
+                    *arguments, "http/1.1"
+                )
+                self.protocol.protocol = refusingprotocol.RefusingProtocol(
+                    *arguments
+                )
+                await self.protocol.initiate()
+                await self.idle_task.restart(tasks, self._idle_timeout)
+                await self._read_data()
+        except OSError:
+            # The caller's connection was reset.
+            pass
+        finally:
+            await self._close()
+
+    def close_if_idle(self) -> None:
+        """Close a connection that waits for a request."""
+        self.idle_task.fire()
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        self.writer.transport.abort()
+
+    async def _idle_timeout(self) -> None:
+        await self._initiate_server_close()
--- /dev/null
+++ b/src/pomeloward/entry/refusingprotocol.py
@@ -0,0 +1,34 @@
+"""HTTP/1.1 whose malformed requests get a refusal like any other."""
+
+import secrets
+
+import h11
+from hypercorn.protocol import h11 as protocols
+
+from pomeloward import model
+from pomeloward.entry import exchange as exchanges
+
+_TOO_LARGE = 431
+
+
+class RefusingProtocol(protocols.H11Protocol):  # type: ignore[misc]
+    """Answers what the parser rejects in the form of section 6."""
+
+    async def _send_error_response(self, status_code: int) -> None:
+        kind = model.ErrorKind.BAD_REQUEST
+        if status_code == _TOO_LARGE:
+            kind = model.ErrorKind.HEADERS_TOO_LARGE
+        refusal = model.Refusal(kind, "the request is malformed")
+        request_id = model.RequestId(secrets.token_hex(8))
+        body = exchanges.refusal_body(refusal, request_id, refusal.run)
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"content-length", b"%d" % len(body)),
+            (b"connection", b"close"),
+            *exchanges.refusal_headers(refusal, refusal.run),
+        ]
+        await self._send_h11_event(
+            h11.Response(status_code=status_code, headers=headers)
+        )
+        await self._send_h11_event(h11.Data(data=body))
+        await self._send_h11_event(h11.EndOfMessage())
--- a/src/pomeloward/gateway/gateway.py
+++ b/src/pomeloward/gateway/gateway.py
@@ -91,17 +91,15 @@
         parts: assembly.Assembly,
         scope: anyio.CancelScope,
     ) -> None:
-        """Serve in a task of its own.
-
-        hypercorn stops by an asyncio task group that leaves its own task
-        marked as cancelled.
-        """
+        """Serve callers until the drain has ended."""
 
         async def wait_for_stop() -> None:
             await self._stopping.wait()
             await self._drain(foundation, parts)
 
-        await entry.serve(parts.application(), self._settings, wait_for_stop)
+        server = entry.Server(parts.application(), self._settings)
+        parts.metrics.gauge("pomeloward_connections", lambda: len(server))
+        await server.serve(wait_for_stop)
         scope.cancel()
 
     async def _drain(
--- a/src/pomeloward/settings/limits.py
+++ b/src/pomeloward/settings/limits.py
@@ -23,9 +23,7 @@
     websocket_message_bytes: _Count = 1024 * 1024
     connect_ms: _Ms = 1_000.0
     stream_idle_ms: _Ms = 60_000.0
-    # hypercorn 0.18 keeps the socket of a caller that has closed an idle
-    # connection for this long.
-    keep_alive_ms: _Ms = 15_000.0
+    keep_alive_ms: _Ms = 75_000.0
     # Below the five seconds after which common servers close idle
     # connections; a request sent into such a close has an unknown run.
     target_idle_ms: _Ms = 4_000.0
--- a/tests/entry/test_inspection.py
+++ b/tests/entry/test_inspection.py
@@ -40,6 +40,7 @@
         for head, status in _SHAPES:
             answer = await harness.raw_request(host.port, head + _END)
             assert answer.startswith(b"HTTP/1.1 " + status), head[:80]
+            assert b"pomeloward-run: not_run" in answer, head[:80]
         good = b"GET /read HTTP/1.1\r\n" + _END
         answer = await harness.raw_request(host.port, good)
         assert answer.startswith(b"HTTP/1.1 200")
