--- a/src/pomeloward/commands/plan.py
+++ b/src/pomeloward/commands/plan.py
@@ -60,9 +60,17 @@
         diff.add_mutually_exclusive_group(required=True)
     )
     diff.set_defaults(run=_diff)
+    reference = commands.add_parser(
+        "reference", help="print the reference of all settings"
+    )
+    reference.set_defaults(run=_reference)
     return parser
 
 
+def _reference(parsed: argparse.Namespace) -> None:
+    print(settings.render_reference(), end="")
+
+
 def _check(parsed: argparse.Namespace) -> None:
     if parsed.file.suffix == ".toml":
         settings.load(parsed.file)
