Reject deeply nested values, and fuzz every reader

Change: one tuple of decoding errors, used by every reader of foreign bytes; random bytes, documents and sheets must raise the package's errors.

--- a/src/pomeloward/catalog/change.py
+++ b/src/pomeloward/catalog/change.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from pomeloward import model
+from pomeloward import platform
 from pomeloward.catalog import kind
 from pomeloward.catalog import records
 
@@ -41,5 +42,5 @@
     """Read a change; raises ``ConfigurationError`` when it is malformed."""
     try:
         return _DECODER.decode(payload)
-    except (msgspec.MsgspecError, UnicodeError) as error:
+    except platform.MALFORMED as error:
         raise model.ConfigurationError(f"malformed change: {error}") from error
--- a/src/pomeloward/catalog/published.py
+++ b/src/pomeloward/catalog/published.py
@@ -27,7 +27,7 @@
     """
     try:
         found = msgspec.json.decode(payload, type=_Whole)
-    except (msgspec.MsgspecError, UnicodeError) as error:
+    except platform.MALFORMED as error:
         raise model.ConfigurationError(
             f"malformed configuration: {error}"
         ) from error
--- a/src/pomeloward/commands/view.py
+++ b/src/pomeloward/commands/view.py
@@ -119,7 +119,7 @@
 def _object(address: str, answer: httpx.Response) -> dict[str, typing.Any]:
     try:
         found = answer.json()
-    except (ValueError, UnicodeDecodeError) as error:
+    except (ValueError, RecursionError) as error:
         raise ValueError(f"{address} answered no JSON: {error}") from error
     if not isinstance(found, dict):
         raise ValueError(f"{address} answered no JSON object")
--- a/src/pomeloward/platform/__init__.py
+++ b/src/pomeloward/platform/__init__.py
@@ -8,6 +8,7 @@
 from pomeloward.platform.hostentry import HostEntry as HostEntry
 from pomeloward.platform.hostentry import ListedState as ListedState
 from pomeloward.platform.http import HttpPlatform as HttpPlatform
+from pomeloward.platform.malformed import MALFORMED as MALFORMED
 from pomeloward.platform.protocol import Platform as Platform
 from pomeloward.platform.readbudget import (
     BOOTSTRAP_SPREAD_MS as BOOTSTRAP_SPREAD_MS,
--- a/src/pomeloward/platform/head.py
+++ b/src/pomeloward/platform/head.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from pomeloward import model
+from pomeloward.platform import malformed
 
 HEAD_NAME = "head"
 
@@ -22,7 +23,7 @@
     """Read the head; raises ``ConfigurationError`` when malformed."""
     try:
         return _DECODER.decode(payload)
-    except (msgspec.MsgspecError, UnicodeError) as error:
+    except malformed.MALFORMED as error:
         raise model.ConfigurationError(f"malformed head: {error}") from error
 
 
--- a/src/pomeloward/platform/http.py
+++ b/src/pomeloward/platform/http.py
@@ -9,6 +9,7 @@
 
 from pomeloward import model
 from pomeloward.platform import hostentry
+from pomeloward.platform import malformed
 from pomeloward.platform import value
 
 # The service answers in milliseconds; a slower one counts as away.
@@ -55,7 +56,7 @@
             raise model.PlatformUnavailable(f"/hosts answered {status}")
         try:
             return _HOSTS.decode(found.payload)
-        except (msgspec.MsgspecError, UnicodeError) as error:
+        except malformed.MALFORMED as error:
             raise model.PlatformUnavailable(
                 f"/hosts is malformed: {error}"
             ) from error
