--- a/src/pomeloward/budget/wallet.py
+++ b/src/pomeloward/budget/wallet.py
@@ -1,8 +1,10 @@
 """The tokens of one team at one host."""
 
 from pomeloward.budget import demand
+from pomeloward.budget import fill
 from pomeloward.budget import holding
 from pomeloward.budget import messages
+from pomeloward.budget import place
 
 _Name = tuple[str, int]
 
@@ -14,6 +16,7 @@
         self.demand = demand.Demand()
         self.holdings: list[holding.Holding] = []
         self.empty_until_ms: dict[_Name, float] = {}
+        self.fills: dict[_Name, fill.Fill] = {}
 
     def tokens(self, now_ms: float) -> int:
         """Return how many tokens can be spent now."""
@@ -30,6 +33,17 @@
                 return held
         return None
 
+    def give_back(self, now_ms: float, after_ms: float) -> list[place.Place]:
+        """Keep no token that was idle for a time; returns the sources."""
+        idle = [
+            held
+            for held in self.holdings
+            if held.kept and now_ms - held.permission.asked_at_ms >= after_ms
+        ]
+        for held in idle:
+            held.give_back()
+        return list(dict.fromkeys(held.source for held in idle))
+
     def prune(self, now_ms: float) -> None:
         """Drop loans that have lapsed; nothing is left to tell of them."""
         self.holdings = [
--- a/src/pomeloward/entry/handler.py
+++ b/src/pomeloward/entry/handler.py
@@ -12,11 +12,21 @@
 from pomeloward.entry import gatekeeper as gatekeepers
 from pomeloward.entry import grant as grants
 from pomeloward.entry import openwork
-from pomeloward.entry import orderpath
+from pomeloward.entry import orderhandler
 from pomeloward.entry import recorder as recorders
 from pomeloward.entry import steps
 from pomeloward.entry import targetrequests
 
+# Refusals of this host that another host may serve.
+_ELSEWHERE = frozenset(
+    {
+        model.ErrorKind.CONNECTION_LIMIT,
+        model.ErrorKind.HOST_DRAINING,
+        model.ErrorKind.HOST_ISOLATED,
+        model.ErrorKind.HOST_STARTING,
+    }
+)
+
 
 class Handler:
     """The steps of a request in their order.
@@ -28,11 +38,12 @@
     def __init__(
         self,
         gatekeeper: gatekeepers.Gatekeeper,
-        orders: steps.Orders,
+        orders: orderhandler.OrderHandler,
         budget: steps.Budget,
         dispatcher: dispatch.Dispatcher,
         open_work: openwork.OpenWork,
         recorder: recorders.Recorder,
+        book: steps.AddressBook,
         limits: settings.Limits,
     ) -> None:
         self._gatekeeper = gatekeeper
@@ -41,6 +52,7 @@
         self._dispatcher = dispatcher
         self._open_work = open_work
         self._recorder = recorder
+        self._book = book
         self._limits = limits
 
     async def handle(
@@ -83,7 +95,7 @@
         with anyio.CancelScope() as scope:
             work = self._open_work.add(request.id, grant, scope, watch)
             try:
-                await self._run(request, grant, body, exchange, now_ms)
+                await self._run(request, work, body, exchange, now_ms)
             except bodies.CallerGone:
                 work.end(model.ErrorKind.CALLER_GONE)
             except bodies.BodyTooLarge as error:
@@ -101,16 +113,19 @@
     async def _run(
         self,
         request: callerrequest.CallerRequest,
-        grant: grants.Grant,
+        work: openwork.Work,
         body: bodies.RequestBody,
         exchange: exchanges.Exchange,
         now_ms: float,
     ) -> None:
+        grant = work.grant
         if request.has_body and request.content_length is None:
             # Only now is it known whether an HTTP/2 request has a body.
             await body.read_if_at_hand()
             request.has_body = not body.is_empty
-        outgoing = targetrequests.build(request, grant, body, now_ms)
+        outgoing = targetrequests.build(
+            request, grant, body, now_ms, work.evidence
+        )
         if not grant.route.is_idempotent:
             await self._run_order(request, outgoing, body, exchange)
             return
@@ -140,35 +155,11 @@
         body: bodies.RequestBody,
         exchange: exchanges.Exchange,
     ) -> None:
-        if request.order_key is None:
-            refusal = model.Refusal(
-                model.ErrorKind.ORDER_KEY_MISSING,
-                "the route needs an Idempotency-Key",
-            )
-            await self._refuse(exchange, refusal, outgoing.team)
-            return
-        data = await body.read_whole(self._limits.order_body_bytes)
-        claimed = await self._orders.claim(
-            outgoing.team,
-            outgoing.route.id,
-            request.order_key,
-            orderpath.digest(request.method, request.target_path, data),
-        )
-        if claimed.is_error():
-            await self._refuse(exchange, claimed.error, outgoing.team)
+        result = await self._orders.run(request, outgoing, body)
+        if result.is_error():
+            await self._refuse(exchange, result.error, outgoing.team)
             return
-        answer = claimed.ok.answer
-        if answer is None:
-            run = orderpath.OrderRun(claimed.ok, outgoing)
-            too_much = await self._take_rate_of_order(claimed.ok, outgoing)
-            if too_much is not None:
-                await self._refuse(exchange, too_much, outgoing.team)
-                return
-            ended = await run.run(self._dispatcher)
-            if isinstance(ended, dispatch.Failed):
-                await self._refuse(exchange, ended.refusal, outgoing.team)
-                return
-            answer = ended
+        answer = result.ok
         await exchange.start(answer.status, list(answer.headers))
         await exchange.finish(answer.body)
 
@@ -178,22 +169,6 @@
         taken = await self._budget.take(team)
         return taken.error if taken.is_error() else None
 
-    async def _take_rate_of_order(
-        self, claim: steps.Claim, outgoing: dispatch.TargetRequest
-    ) -> model.Refusal | None:
-        """Take a token under a claim; the claim never outlives a refusal."""
-        refusal: model.Refusal | None = None
-        is_taken = False
-        try:
-            refusal = await self._take_rate(outgoing.team)
-            is_taken = refusal is None
-        finally:
-            proof = outgoing.evidence.proof
-            if not is_taken and proof is not None:
-                with anyio.move_on_after(1.0, shield=True):
-                    await claim.clear(proof)
-        return refusal
-
     async def _refuse(
         self,
         exchange: exchanges.Exchange,
@@ -201,7 +176,13 @@
         team: model.TeamId | None = None,
     ) -> None:
         self._recorder.refused(refusal, exchange.request, team)
-        await exchange.refuse(refusal)
+        headers = []
+        if refusal.kind in _ELSEWHERE:
+            now_ms = anyio.current_time() * 1_000
+            answer = self._book.answer(team, now_ms)
+            rows = ", ".join(f"{a.address}:{a.port}" for a in answer.addresses)
+            headers.append((b"pomeloward-addresses", rows.encode("ascii")))
+        await exchange.refuse(refusal, headers)
 
     async def _end(
         self, work: openwork.Work, exchange: exchanges.Exchange
@@ -215,7 +196,10 @@
         if exchange.is_started:
             await exchange.abort()
         elif work.ended_by is not model.ErrorKind.CALLER_GONE:
-            await exchange.refuse(refusal)
+            # A refusal that another one would call `not run` may come after
+            # the request was sent.
+            may_have_run = work.evidence.proof is None
+            await exchange.refuse(refusal, may_have_run=may_have_run)
 
 
 async def _watch(
--- a/src/pomeloward/entry/targetrequests.py
+++ b/src/pomeloward/entry/targetrequests.py
@@ -29,6 +29,7 @@
     grant: grants.Grant,
     body: bodies.RequestBody,
     arrived_at_ms: float,
+    evidence: dispatch.RunEvidence,
 ) -> dispatch.TargetRequest:
     """Return the request to dispatch, with this host's own headers."""
     headers = [
@@ -52,4 +53,6 @@
         body=body if request.has_body else NoBody(),
         arrived_at_ms=arrived_at_ms,
         deadline_ms=arrived_at_ms + allowed_ms,
+        weight=grant.weight,
+        evidence=evidence,
     )
--- a/src/pomeloward/service/detector.py
+++ b/src/pomeloward/service/detector.py
@@ -6,6 +6,7 @@
 
 from pomeloward import model
 from pomeloward.service import outlier
+from pomeloward.service import routeeffect
 from pomeloward.service import targetrecord
 from pomeloward.service import targetstate
 from pomeloward.service import tuning as tuning_
@@ -40,6 +41,7 @@
 
     def __init__(self, tuning: tuning_.Tuning) -> None:
         self._tuning = tuning
+        self._streaks: dict[model.TargetId, int] = {}
 
     def reference(self, records: _Records, now_ms: float) -> float | None:
         """Return the usual mean log latency of warm targets, in nats."""
@@ -64,20 +66,27 @@
             if record.state in (_STATE.WARM, _STATE.COLD)
         ]
         worst: dict[model.TargetId, Finding] = {}
+        span_ms = max(self._tuning.windows_ms)
+        spans = [record.window.sums(span_ms, now_ms) for record in judged]
+        effect = routeeffect.RouteEffect(spans)
         for interval_ms in self._tuning.windows_ms:
-            sums = [
-                record.window.sums(interval_ms, now_ms) for record in judged
-            ]
+            sums = []
+            for record, span in zip(judged, spans, strict=True):
+                own = record.window.sums(interval_ms, now_ms)
+                own.nats = effect.adjusted_nats(own, span)
+                sums.append(own)
             self._judge_interval(judged, sums, worst)
         unreachable = self._unreachable(judged, now_ms)
+        self._streaks = {
+            target: self._streaks.get(target, 0) + 1 for target in worst
+        }
         findings = []
         for record in judged:
-            finding = worst.get(record.id, Finding.FINE)
-            record.streak = 0 if finding is Finding.FINE else record.streak + 1
+            streak = self._streaks.get(record.id, 0)
             if record.id in unreachable:
                 findings.append((record, Finding.GRAY))
-            elif record.streak >= self._tuning.confirmations:
-                findings.append((record, finding))
+            elif streak >= self._tuning.confirmations:
+                findings.append((record, worst[record.id]))
         return findings
 
     def _judge_interval(
--- a/src/pomeloward/service/hostslots.py
+++ b/src/pomeloward/service/hostslots.py
@@ -17,8 +17,7 @@
 class HostSlots:
     """What a host may use of a service, by its controller's last answer.
 
-    Only the answer to the latest report is applied, and never one of an
-    older epoch. Sending a report gives idle slots up that are not needed.
+    Only the answer to the latest report and epoch is applied.
     """
 
     def __init__(
@@ -48,6 +47,7 @@
         self._shunned: frozenset[model.TargetId] = frozenset()
         self._states = b""
         self._states_ms = float("-inf")
+        self._states_version = 0
         self._avoid_slots = 0
         self._reserve = 0
         self._permission = model.Permission(float("-inf"), 0.0)
@@ -65,10 +65,14 @@
         """Return the targets avoided by this host's own judgement."""
         return self._avoidance.active(self._slots, self._avoid_slots, now_ms)
 
+    def has_loan(self, now_ms: float) -> bool:
+        """Tell whether the loan of the slots has not lapsed."""
+        return self._permission.is_valid(now_ms)
+
     def may_start(self, target: model.TargetId, now_ms: float) -> bool:
         """Tell whether a request that has a slot may be sent now."""
         return (
-            self._permission.is_valid(now_ms)
+            self.has_loan(now_ms)
             and target not in self._stopped
             and self._granted.get(target, 0) > 0
         )
@@ -81,7 +85,7 @@
         now_ms: float,
     ) -> tuple[int, model.TargetId] | None:
         """Take an idle slot; return the number of the run and its target."""
-        if not self._permission.is_valid(now_ms):
+        if not self.has_loan(now_ms):
             return None
         out = self._stopped | self.avoided(now_ms)
         idle = [
@@ -95,9 +99,8 @@
                 self._shunned = frozenset(avoid)
             return None
         most = max(usable)[0]
-        target = self._rng.choice(
-            sorted(target for count, target in usable if count == most)
-        )
+        best = sorted(target for count, target in usable if count == most)
+        target = self._rng.choice(best)
         return self.runs.start(target, route, team, now_ms), target
 
     def release(
@@ -124,8 +127,8 @@
 
     def has_excess(self, now_ms: float) -> bool:
         """Tell whether there are idle slots to give back."""
-        spare = self._idle(now_ms) - sum(self.waiting.values())
-        return spare > self._reserve
+        needed = sum(self.waiting.values()) + self._reserve
+        return self._idle(now_ms) > needed
 
     def is_busy(self) -> bool:
         """Tell whether requests wait or run."""
@@ -155,12 +158,13 @@
             demand=tuple(sorted(self._demand().items())),
             evidence=self.evidence.take(self._index, self.runs.ages(now_ms)),
             avoided=tuple(
-                self._index[target]
-                for target in sorted(avoided)
-                if target in self._index
+                sorted(
+                    self._index[one] for one in avoided & self._index.keys()
+                )
             ),
             states=self._states,
             states_age_ms=min(now_ms - self._states_ms, 1e9),
+            states_version=self._states_version,
         )
 
     def apply(self, answer: messages.Answer) -> bool:
@@ -180,6 +184,7 @@
         )
         self._states = answer.states
         self._states_ms = self._asked_ms
+        self._states_version = answer.version
         self._avoid_slots = answer.avoid_slots
         self._reserve = answer.reserve
         return False
@@ -201,7 +206,7 @@
         return demand
 
     def _idle(self, now_ms: float) -> int:
-        if not self._permission.is_valid(now_ms):
+        if not self.has_loan(now_ms):
             return 0
         return sum(
             max(0, count - self.runs.in_use.get(target, 0))
@@ -213,7 +218,7 @@
         self, avoided: frozenset[model.TargetId], now_ms: float
     ) -> None:
         """Drop idle slots beyond the demand and the reserve."""
-        is_valid = self._permission.is_valid(now_ms)
+        is_valid = self.has_loan(now_ms)
         keep = sum(self.waiting.values()) + self._reserve
         out = avoided | self._stopped
         for target, count in list(self._granted.items()):
--- a/src/pomeloward/service/tuning.py
+++ b/src/pomeloward/service/tuning.py
@@ -20,8 +20,8 @@
     report_ms: float = 500.0
     # Longest time that a request holds its slot after its start.
     hold_ms: float = 10_000.0
-    # How long a host's memory of a warm target counts for a new controller.
-    # A target that stops being warm gets no trial before it has passed.
+    # How long a host's memory of a warm target counts for a new controller;
+    # no longer than the first backoff, so that it ends before any trial.
     hint_ms: float = 10_000.0
     windows_ms: tuple[float, ...] = (1_000.0, 2_000.0, 4_000.0)
     evaluate_ms: float = 250.0
@@ -32,8 +32,8 @@
     fall_ratio: float = 2.0
     min_count: int = 4
     min_peers: int = 4
-    # Spread of targets' mean log latency that is always assumed.
-    spread_floor: float = 0.2
+    # Differences between healthy targets that are always assumed, in nats.
+    spread_floor: float = 0.15
     min_error_ratio: float = 0.25
     min_errors: int = 4
     ramp_ms: float = 1_000.0
