--- a/src/pomeloward/commands/hosts.py
+++ b/src/pomeloward/commands/hosts.py
@@ -59,7 +59,7 @@
 
 
 async def _published(url: str) -> catalog.Configuration:
-    async with httpx.AsyncClient() as client:
+    async with httpx.AsyncClient(trust_env=False) as client:
         source = platform.HttpPlatform(client, url)
         return await catalog.read_published(source)
 
@@ -78,7 +78,7 @@
                 found[address] = None
 
     async with (
-        httpx.AsyncClient(timeout=TIMEOUT_S) as client,
+        httpx.AsyncClient(timeout=TIMEOUT_S, trust_env=False) as client,
         anyio.create_task_group() as group,
     ):
         for address in addresses:
