Start the ownership machine with mixed versions; reuse placements

Cause: with 200 examples the state machine stayed green for a majority in the newest roster only. Each change of the configuration recomputed the ranks and contacts of a host.

Change: hosts of the machine start with version 1 or 2 each. Ranks and contacts are kept while rosters and hosts are the same.

--- a/src/pomeloward/membership/roll.py
+++ b/src/pomeloward/membership/roll.py
@@ -37,7 +37,7 @@
         self._region = region
         self._incarnation = incarnation
         self._version = model.Version(0)
-        self._mesh = mesh.Mesh(own, region)
+        self._mesh = mesh.Mesh(own, region, {})
         self._contact_since_ms: dict[model.HostId, float] = {}
         self._sightings: dict[model.HostId, sighting.Sighting] = {}
         self._hearsay = hearsay.Hearsay()
@@ -46,7 +46,10 @@
     def configure(self, view: catalog.View, now_ms: float) -> None:
         """Take the hosts of a new configuration."""
         self._version = view.version
-        self._mesh = mesh.Mesh(self._own, self._region, view)
+        by_region = mesh.hosts_by_region(view)
+        if by_region == self._mesh.by_region:
+            return
+        self._mesh = mesh.Mesh(self._own, self._region, by_region)
         self._contact_since_ms = {
             contact: self._contact_since_ms.get(contact, now_ms)
             for contact in self._mesh.contacts
--- a/src/pomeloward/ownership/campaign.py
+++ b/src/pomeloward/ownership/campaign.py
@@ -39,7 +39,7 @@
         self._table = table
         self._succession = succession.Succession(rng)
         self._unix_ms = unix_ms
-        self._land: territory.Territory | None = None
+        self._firsts: list[model.HostId] | None = None
         self._ranks: dict[int, int] = {}
         self._since_ms: dict[int, float] = {}
 
@@ -86,8 +86,9 @@
 
     def _ranks_in(self, land: territory.Territory) -> dict[int, int]:
         """Return this host's rank by partition, where it is a candidate."""
-        if land is not self._land:
-            self._land = land
+        # The list stays the same object while the candidates are the same.
+        if land.firsts() is not self._firsts:
+            self._firsts = land.firsts()
             self._ranks = {}
             for number in range(land.partitions):
                 candidates = land.candidates(number)
--- a/src/pomeloward/ownership/territory.py
+++ b/src/pomeloward/ownership/territory.py
@@ -79,7 +79,9 @@
             self._firsts = preference.balanced_firsts(
                 newest, self.partitions, self.is_out
             )
-        return self._firsts or []
+        if self._firsts is None:
+            self._firsts = []
+        return self._firsts
 
     def candidates(self, number: int) -> tuple[model.HostId, ...]:
         """Return the candidates in the newest roster, best first.
--- a/tests/ownership/test_machine.py
+++ b/tests/ownership/test_machine.py
@@ -37,14 +37,19 @@
         skews=strategies.lists(
             strategies.integers(-10, 10), min_size=5, max_size=5
         ),
+        versions=strategies.lists(
+            strategies.sampled_from((1, 2)), min_size=5, max_size=5
+        ),
     )
-    def start(self, speeds, skews):
+    def start(self, speeds, skews, versions):
         hosts = [
             fleet.SimHost(name, speed, 1_000.0 * i, skew)
             for i, (name, speed, skew) in enumerate(
                 zip(fleet.HOSTS, speeds, skews, strict=True)
             )
         ]
+        for host, version in zip(hosts, versions, strict=True):
+            host.version = model.Version(version)
         self.fleet = fleet.Fleet(hosts)
         self.fleet.time_ms = 3_100.0
         self.stood_ms = {}
