Give a host without configuration no standing

Cause: a host that knew no other host counted itself as the majority, so a starting host voted before it had a configuration.

Change: Roll.has_standing is false until it is configured, with a test that was red before.

Measured: pytest tests/membership tests/ownership tests/peer tests/address passes.

--- a/src/pomeloward/membership/roll.py
+++ b/src/pomeloward/membership/roll.py
@@ -180,8 +180,11 @@
         """Tell whether more than half of the contacts are in touch.
 
         The host counts itself as one of them; otherwise the loss of one of
-        three hosts would end the standing of the other two.
+        three hosts would end the standing of the other two. Without a
+        configuration there is none.
         """
+        if not self._mesh.by_region:
+            return False
         mutual = sum(
             known.is_mutual and known.is_fresh(now_ms)
             for known in map(self._sightings.get, self._mesh.contacts)
--- a/tests/membership/test_roll.py
+++ b/tests/membership/test_roll.py
@@ -85,6 +85,16 @@
     assert fleet.rolls[host].has_standing(fleet.now_ms)
 
 
+def test_host_without_configuration_has_no_standing():
+    """Guards against a host that knows nobody and thinks it is in touch."""
+    fresh = membership.Roll(
+        model.HostId("a"), model.RegionId("south"), model.Incarnation(1)
+    )
+    assert not fresh.has_standing(0.0)
+    fresh.configure(views.FleetView(1), 0.0)
+    assert fresh.has_standing(0.0)
+
+
 def test_standing_ends_with_silence_and_after_a_pause():
     """Guards against an isolated or paused host that goes on voting."""
     fleet = Fleet(views.FleetView(48))
