Ask the configured host in the test of standing without configuration

Change: the test uses the host of the configuration.

With the check of the configuration taken out the test fails.

--- a/tests/membership/test_roll.py
+++ b/tests/membership/test_roll.py
@@ -87,8 +87,9 @@
 
 def test_host_without_configuration_has_no_standing():
     """Guards against a host that knows nobody and thinks it is in touch."""
+    host = model.HostId("south-000")
     fresh = membership.Roll(
-        model.HostId("a"), model.RegionId("south"), model.Incarnation(1)
+        host, model.RegionId("south"), model.Incarnation(1)
     )
     assert not fresh.has_standing(0.0)
     fresh.configure(views.FleetView(1), 0.0)
