Give up claims of hosts that were paused

Change: an attempt becomes a claim only within 8 s of its start; after a pause of more than 20 s a host refuses callers' own keys for 10 s.

--- a/src/pomeloward/orders/attempt.py
+++ b/src/pomeloward/orders/attempt.py
@@ -40,9 +40,14 @@
         self._questions = questions
         self._locate = locate
         self._spawn = spawn
+        self._window = model.Permission(shell.now_ms(), horizon.CLAIM_MS)
         self._electorate: messages.Electorate = ()
         self.may_be_claimed = False
 
+    def is_timely(self) -> bool:
+        """Tell whether the attempt may still become a claim."""
+        return self._window.is_valid(shell.now_ms())
+
     async def ask(self) -> messages.ClaimAnswer | claim.Claim | None:
         """Ask the owner once; None where it could not be asked.
 
@@ -99,7 +104,8 @@
             intent,
             model.Permission(asked_at_ms, horizon.INTENT_MS),
         )
-        if not is_recorded:
+        # The host may have been paused since the loop of its claim checked.
+        if not is_recorded or not self.is_timely():
             return None
         permit = model.Permission(asked_at_ms, answer.lifetime_ms)
         return claim.Claim(None, permit, self.settle)
--- a/src/pomeloward/orders/client.py
+++ b/src/pomeloward/orders/client.py
@@ -16,16 +16,15 @@
 from pomeloward.orders import messages
 from pomeloward.orders import orderid
 from pomeloward.orders import orderscope
+from pomeloward.orders import pauseguard
 from pomeloward.orders import shell
 
-# How long a claim waits for an owner or for a running attempt. It covers the
-# change of an owner that crashed.
-_CLAIM_MS = 8_000.0
 _FIRST_PAUSE_MS = 20.0
 _MAX_PAUSE_MS = 400.0
 _RETRY_MS = 1_000.0
 _CLEAR_MS = 500.0
 _ISSUE_TRIES = 4
+_TICK_MS = 1_000.0
 
 _KINDS = {
     messages.Verdict.CONFLICT: (
@@ -46,6 +45,11 @@
     "The order is still running or its owner cannot be asked.",
     _RETRY_MS,
 )
+_PAUSED = model.Refusal(
+    model.ErrorKind.HOST_STARTING,
+    "The host was paused; the request may have waited for too long.",
+    _RETRY_MS,
+)
 
 
 class OrderClient:
@@ -67,6 +71,7 @@
         self._questions = questions
         self._ids = ids
         self._rng = rng
+        self._guard = pauseguard.PauseGuard()
         self._group: anyio.abc.TaskGroup | None = None
 
     async def run(
@@ -78,7 +83,9 @@
         async with anyio.create_task_group() as group:
             self._group = group
             task_status.started()
-            await anyio.sleep_forever()
+            while True:
+                await anyio.sleep(_TICK_MS / 1000)
+                self._guard.tick(shell.now_ms())
 
     async def issue(
         self, team: model.TeamId, count: int
@@ -123,6 +130,9 @@
         )
         if made.is_error():
             return expression.Error(made.error)
+        is_fresh = self._guard.is_fresh(shell.now_ms())
+        if made.ok.issued is None and not is_fresh:
+            return expression.Error(_PAUSED)
         number = self._rng.getrandbits(62)
         trying = attempt.Attempt(
             made.ok, number, self._questions, self._locate, self._spawn
@@ -140,9 +150,8 @@
     async def _repeat(
         self, trying: attempt.Attempt
     ) -> expression.Result[claims.Claim, model.Refusal]:
-        give_up_ms = shell.now_ms() + _CLAIM_MS
         pause_ms = _FIRST_PAUSE_MS
-        while shell.now_ms() < give_up_ms:
+        while trying.is_timely():
             answer = await trying.ask()
             if isinstance(answer, claims.Claim):
                 return expression.Ok(answer)
--- a/src/pomeloward/orders/horizon.py
+++ b/src/pomeloward/orders/horizon.py
@@ -4,6 +4,10 @@
 
 # How long a caller may repeat an order with its key.
 HORIZON_MS = 600_000.0
+# How long a claim waits for an owner or for a running attempt; it covers the
+# change of an owner that crashed. A host that was paused for longer gives the
+# claim up: the order may have run and been forgotten meanwhile.
+CLAIM_MS = 8_000.0
 # How long a run permit lasts: the intents at the voters and the waits for
 # tokens and for a slot lie between its question and the dispatch.
 PERMIT_MS = 12_000.0
