--- a/src/pomeloward/service/controller.py
+++ b/src/pomeloward/service/controller.py
@@ -43,6 +43,7 @@
         self._probing = probing.Probing(tuning)
         self._predecessor: predecessor.Predecessor | None = None
         self._view: catalog.View | None = None
+        self._version = model.Version(0)
         self._is_started = False
 
     def start(
@@ -72,6 +73,7 @@
     def configure(self, view: catalog.View, now_ms: float) -> None:
         """Take a configuration; stopped targets get no loan from now on."""
         self._view = view
+        self._version = view.version
         service = view.service(self.service)
         if service is not None:
             self.targets.configure(
@@ -119,6 +121,7 @@
             sequence=report.sequence,
             is_agreed=True,
             clock_ms=now_ms,
+            version=self._version,
             grants=tuple(
                 (index, grants[target])
                 for index, target in enumerate(ids)
@@ -133,23 +136,23 @@
     def nudges(self, now_ms: float) -> list[model.HostId]:
         """Return the hosts that should report now, to get or give slots."""
         records = self.targets.records
-        stopped = {record.id for record in records if not record.cap(now_ms)}
+        stopped = {record.id for record in records if not record.cap()}
         holders = [
             host
-            for host in self.ledger.hosts()
+            for host in (self.ledger.hosts() if stopped else ())
             if not stopped.isdisjoint(self.ledger.held(host))
         ]
         return self._demand.nudges(
-            self._lending(now_ms).free(), holders, now_ms
+            lambda: self._lending().free(), holders, now_ms
         )
 
     def _weight(self, team: model.TeamId) -> float:
         entry = self._view.team(team) if self._view is not None else None
         return entry.weight if entry is not None else 1.0
 
-    def _lending(self, now_ms: float) -> lending.Lending:
+    def _lending(self) -> lending.Lending:
         return lending.Lending(
-            self.targets.records, self.ledger, self.targets.shares, now_ms
+            self.targets.records, self.ledger, self.targets.shares
         )
 
     def _lend(
@@ -164,9 +167,9 @@
         """
         self.ledger.set(host, held, now_ms)
         goal, reserve = self._demand.goal(
-            host, self.targets.capacity(now_ms), self._weight, now_ms
+            host, self.targets.capacity(), self._weight, now_ms
         )
-        grants = self._lending(now_ms).choose(
+        grants = self._lending().choose(
             held, self._demand.avoided(host), goal, self._rng
         )
         upper = {
@@ -191,9 +194,9 @@
         for record in records:
             record.adopted += held.get(record.id, 0)
         age_ms = report.states_age_ms + now_ms - report.echo_ms
-        for record in waiting.join(
-            host, records, report.states, age_ms, now_ms
-        ):
+        is_current = report.states_version == self._version
+        states = report.states if is_current else b""
+        for record in waiting.join(host, records, states, age_ms, now_ms):
             self.targets.try_eject(record, now_ms)
 
     def _observe(
--- a/src/pomeloward/service/handover.py
+++ b/src/pomeloward/service/handover.py
@@ -19,7 +19,6 @@
     adopted: int
     ejections: int
     until_in_ms: float
-    not_before_in_ms: float
 
 
 class HandedLoan(msgspec.Struct, frozen=True, array_like=True):
@@ -58,7 +57,6 @@
                     record.adopted,
                     record.ejections,
                     record.until_ms - now_ms,
-                    record.not_before_ms - now_ms,
                 )
                 for record in records
             ),
@@ -79,17 +77,19 @@
         handed = {target.id: target for target in self.targets}
         for record in records:
             target = handed.get(record.id)
-            is_out = record.state.is_excluded
+            if record.state.is_excluded:
+                continue
             if target is None:
-                if not is_out:
-                    record.fall(now_ms)
+                record.fall(now_ms)
                 continue
-            record.change(targetstate.TargetState(target.state), now_ms)
+            state = targetstate.TargetState(target.state)
+            if state.is_excluded:
+                state = targetstate.TargetState.COLD
+            record.change(state, now_ms)
             record.level = target.level
             record.adopted = target.adopted
             record.ejections = target.ejections
             record.until_ms = now_ms + target.until_in_ms
-            record.not_before_ms = now_ms + target.not_before_in_ms * drift
         for loan in self.loans:
             ledger.restore(
                 loan.host,
--- a/tests/platform/test_reader.py
+++ b/tests/platform/test_reader.py
@@ -3,6 +3,7 @@
 import random
 
 import anyio
+import httpx
 import pytest
 import trio
 import trio.testing
@@ -44,14 +45,14 @@
         raise model.PeerUnavailable(host)
 
 
-def _run(script):
+def _run(script, spread_ms=0.0):
     """Run ``script(memory, sink)`` beside a reader on a paused clock."""
     memory, sink = fakes.MemoryPlatform(), Sink()
 
     async def main():
         choice = platform.ReaderChoice("h1", random.Random(1), 0.0)
         choice.on_hosts("south", {"h1": "opuwo"}, 0.0)
-        budget = platform.ReadBudget(random.Random(1), 0.0)
+        budget = platform.ReadBudget(random.Random(1), 0.0, spread_ms)
         async with memory.client() as client, anyio.create_task_group() as g:
             source = platform.HttpPlatform(client, "http://platform")
             reader = platform.Reader(source, choice, budget, sink, NoPeers())
@@ -133,6 +134,96 @@
     assert sink.view.version == 4
 
 
+def test_host_with_peers_does_not_read_at_once():
+    """Guards against 640 hosts that read every shard when they start."""
+
+    async def script(memory, sink):
+        memory.publish_snapshot(samples.configuration(4))
+        # The seed's part of the spread is 1.3 s.
+        await anyio.sleep(1.0)
+        assert memory.attempts == 0
+        await anyio.sleep(9.5)
+
+    _, sink = _run(script, platform.BOOTSTRAP_SPREAD_MS)
+    assert sink.view.version == 4
+
+
+def test_steady_reads_are_few():
+    """Guards against readers that use up the platform's 2,000 reads/s.
+
+    Nine readers may take a two-hundredth of it: 1 read/s each.
+    """
+
+    async def script(memory, sink):
+        memory.publish_snapshot(samples.configuration(1))
+        # 125 changes an hour are the 3,000 a day of the planned size.
+        for version in range(1, 126):
+            await anyio.sleep(28.8)
+            memory.publish(samples.change(version))
+        await anyio.sleep(5)
+
+    memory, sink = _run(script)
+    assert sink.view.version == 126
+    assert memory.attempts < 3_600
+
+
+def test_rebuilt_platform_is_followed():
+    """Guards against a watch above a number of writes that never comes."""
+
+    async def script(memory, sink):
+        for _ in range(5):
+            memory.publish_head(platform.Head(0))
+        memory.publish_snapshot(samples.configuration(4))
+        await anyio.sleep(5)
+        memory.values.clear()
+        memory.publish_snapshot(samples.configuration(4))
+        memory.publish(samples.change(4))
+        await anyio.sleep(25)
+
+    _, sink = _run(script)
+    assert sink.view.version == 5
+
+
+def test_published_configuration_is_read_once():
+    """Guards against a plan made against another configuration."""
+    memory = fakes.MemoryPlatform()
+    memory.publish_snapshot(samples.configuration(4))
+    team = catalog.Team("crew", 9.0, 20.0)
+    memory.publish(samples.change(4, [catalog.Team("crew", -1.0, 1.0)]))
+    memory.publish(samples.change(4, [team], version=6))
+
+    async def main():
+        async with memory.client() as client:
+            source = platform.HttpPlatform(client, "http://platform")
+            return await catalog.read_published(source)
+
+    view = anyio.run(main)
+    assert (view.version, view.team("crew")) == (6, team)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        {"status_code": 500},
+        {"status_code": 200, "content": b"x" * 1_000_001},
+        {"status_code": 200, "headers": {"Value-Version": "x"}},
+    ],
+)
+def test_bad_answer_counts_as_unavailable(answer):
+    """Guards against a reader that ends, or keeps an oversized value."""
+    transport = httpx.MockTransport(lambda _: httpx.Response(**answer))
+
+    async def main():
+        async with httpx.AsyncClient(transport=transport) as client:
+            source = platform.HttpPlatform(client, "http://platform")
+            with pytest.raises(model.PlatformUnavailable):
+                await source.read("head")
+            with pytest.raises(model.PlatformUnavailable):
+                await source.hosts()
+
+    anyio.run(main)
+
+
 @pytest.mark.parametrize("payload", [b"", b"{", b'{"version": "x"}', b"\xff"])
 def test_malformed_head_is_survived(payload):
     """Guards against a reader that ends on a malformed value."""
