Draw attempt numbers from the system's randomness

Cause: the gateway seeds its generator by host id; two attempts with the same number would share one permit.

--- a/src/pomeloward/orders/client.py
+++ b/src/pomeloward/orders/client.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import random
+import secrets
 
 import anyio
 import anyio.abc
@@ -133,7 +134,9 @@
         is_fresh = self._guard.is_fresh(shell.now_ms())
         if made.ok.issued is None and not is_fresh:
             return expression.Error(_PAUSED)
-        number = self._rng.getrandbits(62)
+        # Two attempts with one number would share a permit, so it must not
+        # depend on a seed.
+        number = secrets.randbits(62)
         trying = attempt.Attempt(
             made.ok, number, self._questions, self._locate, self._spawn
         )
