Sharpen the tests of the queue

Cause: five mechanisms of the queue, broken on purpose, left its tests green. Change: tests of the virtual time, of newcomers to a full queue, of several slots at once, of retries at the head and of abandoned tickets; a window of 3 s for detection; the curve measures rules beside the z-score.

--- a/bench/detection.py
+++ b/bench/detection.py
@@ -27,8 +27,9 @@
 _EPISODE_MS = 9_000.0
 _PAUSE_MS = 7_000.0
 _KINDS = ("slow", "errors", "cut")
-_Z_SCORES = (3.0, 3.5, 4.0, 4.5, 5.0, 5.5, 6.0)
-_COUNTS = (2, 3, 4)
+_Z_SCORES = (3.5, 4.5, 5.0, 5.5)
+# Minimum ratio, number of samples and evaluations that must agree.
+_RULES = ((3.0, 3, 2), (5.0, 3, 2), (5.0, 3, 3), (5.0, 4, 2))
 # Rate, factor of the slow route, and factor of all targets' latency.
 _STRAINS = (
     (2.0, 1.0, 1.0),
@@ -43,8 +44,14 @@
 
 def _shadows() -> list[tuning_.Tuning]:
     return [
-        dataclasses.replace(tuning_.Tuning(), z_score=z, min_count=count)
-        for count in _COUNTS
+        dataclasses.replace(
+            tuning_.Tuning(),
+            z_score=z,
+            min_ratio=ratio,
+            min_count=count,
+            confirmations=confirmations,
+        )
+        for ratio, count, confirmations in _RULES
         for z in _Z_SCORES
     ]
 
@@ -192,14 +199,19 @@
 
 def _plot(name: str, measured: Measured, hours: float) -> None:
     figure, axes = pyplot.subplots(figsize=(6, 4))
-    for row, count in enumerate(_COUNTS):
+    for row, (ratio, count, agreeing) in enumerate(_RULES):
         base = row * len(_Z_SCORES)
         numbers = range(base, base + len(_Z_SCORES))
         rates = [sum(measured[f"false {n}"]) / hours for n in numbers]
         times = [
             statistics.median(measured[f"time {n}"]) / 1_000 for n in numbers
         ]
-        axes.plot(times, rates, "o-", label=f"at least {count} samples")
+        axes.plot(
+            times,
+            rates,
+            "o-",
+            label=f"ratio {ratio:g}, {count} samples, {agreeing} times",
+        )
         for z_score, time_s, rate in zip(_Z_SCORES, times, rates, strict=True):
             axes.annotate(f"{z_score:g}", (time_s, rate))
     axes.set_yscale("symlog", linthresh=0.1)
--- a/src/pomeloward/service/tuning.py
+++ b/src/pomeloward/service/tuning.py
@@ -23,7 +23,7 @@
     # How long a host's memory of a warm target counts for a new controller;
     # no longer than the first backoff, so that it ends before any trial.
     hint_ms: float = 10_000.0
-    windows_ms: tuple[float, ...] = (1_000.0, 2_000.0, 4_000.0)
+    windows_ms: tuple[float, ...] = (1_000.0, 2_000.0, 3_000.0, 4_000.0)
     evaluate_ms: float = 250.0
     # Evaluations in a row that must agree before an ejection.
     confirmations: int = 2
--- a/tests/queue/test_admission.py
+++ b/tests/queue/test_admission.py
@@ -7,6 +7,7 @@
 from pomeloward import model
 from pomeloward import queue
 from pomeloward import service
+from pomeloward.queue import line as line_
 
 pytestmark = pytest.mark.anyio
 
@@ -141,6 +142,58 @@
     assert [name for name, _ in order] == ["first", "second"]
 
 
+async def test_slots_that_come_together_all_go_to_waiting_requests():
+    """Guards against a slot that stays idle while requests wait."""
+    client = FakeClient()
+    admission = queue.Admission(client, clock)
+    results = []
+
+    async def request():
+        results.append(await admission.acquire(make()))
+
+    async with anyio.create_task_group() as tasks:
+        for _ in range(3):
+            tasks.start_soon(request)
+        await anyio.sleep(0.01)
+        client.idle += ["t0", "t1", "t2"]
+        client.callback()
+    assert all(result.is_ok() for result in results)
+
+
+async def test_request_that_avoids_a_target_lets_the_next_one_have_it():
+    """Guards against a queue that stands still behind a retry."""
+    client = FakeClient()
+    admission = queue.Admission(client, clock)
+    results = {}
+
+    async def request(name, ticket):
+        results[name] = await admission.acquire(ticket)
+
+    async with anyio.create_task_group() as tasks:
+        retry = make()
+        retry.avoid.add("t0")
+        tasks.start_soon(request, "retry", retry)
+        await anyio.sleep(0.01)
+        tasks.start_soon(request, "next", make())
+        await anyio.sleep(0.01)
+        client.idle.append("t0")
+        client.callback()
+    assert results["next"].ok.target == "t0"
+    assert results["retry"].is_error()
+
+
+async def test_slot_of_an_abandoned_ticket_goes_on():
+    """Guards against a slot that is lost when its caller goes away."""
+    client = FakeClient(["t0"])
+    line = line_.Line(client, "orders")
+    ticket = make()
+    assert line.enter(ticket, clock()) is None
+    line.serve(clock())
+    assert client.idle == []
+    line.abandon(ticket, clock())
+    assert client.idle == ["t0"]
+
+
 async def test_flood_is_refused_at_once_when_it_cannot_be_in_time():
     """Guards against a queue in which every request is late."""
     client = FakeClient(["t0"])
--- a/tests/queue/test_fairqueue.py
+++ b/tests/queue/test_fairqueue.py
@@ -145,6 +145,26 @@
         dropped = queue.push(make("loud"))
         assert dropped is None or dropped.team == "loud"
     assert quiet in list(queue.in_order())
+    late = make("late")
+    assert queue.push(late).team == "loud"
+    assert late in list(queue.in_order())
+
+
+def test_idle_team_saves_up_no_turns():
+    """Guards against a team that was idle and then gets all turns."""
+    queue = fairqueue.FairQueue()
+    for _ in range(100):
+        queue.push(make("a"))
+        queue.serve(next(queue.in_order()))
+    for _ in range(30):
+        queue.push(make("a"))
+        queue.push(make("b"))
+    served = collections.Counter()
+    for _ in range(20):
+        first = next(queue.in_order())
+        queue.serve(first)
+        served[first.team] += 1
+    assert served["b"] <= 11
 
 
 def test_deferrable_share_is_a_twentieth():
