Keep keys out of websocket subprotocols

Cause: a key that a caller offers as a websocket subprotocol went to the target, since the list came from the server and not from the cleaned headers. Change: subprotocols come from the cleaned headers, and parts of list-valued headers are compared with granted keys too. Measured: pytest tests/entry/test_keys.py, 9 passed in 7.8 s; with the server's list put back the new test is red.

--- a/src/pomeloward/entry/application.py
+++ b/src/pomeloward/entry/application.py
@@ -13,6 +13,7 @@
 from pomeloward.entry import handler
 from pomeloward.entry import inspection
 from pomeloward.entry import recorder as recorders
+from pomeloward.entry import separation
 from pomeloward.entry import serverconnection
 from pomeloward.entry import steps
 from pomeloward.entry import websocket
@@ -115,7 +116,10 @@
                 await call.refuse(inspected.error)
             else:
                 await self._websockets.handle(
-                    inspected.ok, call, scope["subprotocols"], now_ms
+                    inspected.ok,
+                    call,
+                    _subprotocols(inspected.ok.headers),
+                    now_ms,
                 )
         finally:
             self._recorder.ended(request_id, call.status, now_ms)
@@ -140,6 +144,16 @@
         return self._host.view.team_of_key(digest) is not None
 
 
+def _subprotocols(headers: separation.Headers) -> list[str]:
+    """Return what the caller offers, without a key that came as one."""
+    return [
+        part.strip()
+        for name, value in headers
+        if name == b"sec-websocket-protocol"
+        for part in value.decode("latin-1").split(",")
+    ]
+
+
 def _request_id() -> model.RequestId:
     return model.RequestId(secrets.token_hex(_REQUEST_ID_BYTES))
 
--- a/src/pomeloward/entry/separation.py
+++ b/src/pomeloward/entry/separation.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import hashlib
+import re
 import urllib.parse
 
 KEY_HEADERS = frozenset(
@@ -30,6 +31,9 @@
     }
 )
 
+# What stands between the parts of list-valued headers.
+_SEPARATORS = re.compile(rb"[\s,;=\"']+")
+
 Headers = list[tuple[bytes, bytes]]
 IsKey = collections.abc.Callable[[bytes], bool]
 
@@ -99,7 +103,7 @@
         """Tell whether a value contains a key of this request or is one."""
         if any(key in value for key in self._keys):
             return True
-        for token in value.split():
+        for token in {*value.split(), *_SEPARATORS.split(value)}:
             if len(token) >= _LEAST_KEY_BYTES and self._is_key(
                 hashlib.sha256(token).digest()
             ):
--- a/tests/entry/test_keys.py
+++ b/tests/entry/test_keys.py
@@ -159,6 +159,31 @@
             assert socket.close_code == 1008
 
 
+@pytest.mark.parametrize("path", ["/read", "/open/read"])
+async def test_key_as_subprotocol_reaches_no_target(tmp_path, path):
+    """Guards against a key that a browser sends as a subprotocol."""
+    heads = []
+
+    async def note(connection):
+        heads.append(str(connection.request.headers))
+
+    async with (
+        harness.running(tmp_path, harness.answer()) as (host, targets),
+        server.serve(note, "127.0.0.1", 0) as upstream,
+    ):
+        targets[0].port = upstream.sockets[0].getsockname()[1]
+        host.configure(harness.records(targets))
+        async with client.connect(
+            f"ws://127.0.0.1:{host.port}{path}",
+            additional_headers={"X-Api-Key": harness.OTHER_KEY},
+            subprotocols=["bearer", harness.KEY],
+        ) as socket:
+            await socket.wait_closed()
+    assert heads
+    assert harness.KEY not in heads[0]
+    assert harness.OTHER_KEY not in heads[0]
+
+
 def test_harness_keys_are_digests():
     """Guards against test records that hold a key itself."""
     listed = json.dumps(harness.records([]))
