--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -1,6 +1,8 @@
 """Prints what a host costs at the planned size.
 
-Run as ``python -m bench.capacity [--quick] [--seed N] [--plots DIR]``.
+Run as ``python -m bench.capacity [--quick] [--seed N] [--docs DIR]``. With
+``--docs`` the table goes into the page CAPACITY.md of that directory, and the
+plots beside it.
 """
 
 import argparse
@@ -8,6 +10,7 @@
 import sys
 import time
 
+from bench.capacity import page
 from bench.capacity import plan
 from bench.capacity import table
 
@@ -17,7 +20,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--quick", action="store_true")
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--plots", type=pathlib.Path)
+    parser.add_argument("--docs", type=pathlib.Path)
     arguments = parser.parse_args()
     started = time.process_time()
 
@@ -26,16 +29,17 @@
 
     found = plan.measure(arguments.seed, arguments.quick, log)
     kind = "quick" if arguments.quick else "full"
-    print(f"Seed {arguments.seed}, {kind} run.\n")
-    for line in table.lines(found):
-        print(line)
-    if arguments.plots is not None:
+    lines = [f"Seed {arguments.seed}, {kind} run.", "", *table.lines(found)]
+    printed = "\n".join(lines) + "\n"
+    print(printed)
+    if arguments.docs is not None:
         # Imported here, since it takes a second and much memory.
         from bench.capacity import plots
 
-        plots.draw(found, arguments.plots)
+        plots.draw(found, arguments.docs)
+        page.replace(arguments.docs / "CAPACITY.md", printed)
     spent = time.process_time() - started
-    print(f"\nThe measurement took {spent:.0f} s of a core.")
+    print(f"The measurement took {spent:.0f} s of a core.")
 
 
 if __name__ == "__main__":
