Give operators burn samples, explanations and target states

Cause: pomeloward-burn and explain of targets and teams had no endpoint on a host, a rejected change was not visible in the status, ejections left no record, and hosts that start together would all read the platform at once. Change: /.pomeloward/histograms; explain finds requests, targets and teams; status names the last rejection; controllers report each change of a target's state with its evidence; hosts with seeds spread their first reads.

--- a/src/pomeloward/entry/admin.py
+++ b/src/pomeloward/entry/admin.py
@@ -1,5 +1,6 @@
 """Endpoints of the host itself under ``/.pomeloward/``."""
 
+import collections.abc
 import typing
 import urllib.parse
 
@@ -29,8 +30,10 @@
         orders: steps.Orders,
         metrics: observe.Metrics,
         journal: observe.Journal,
+        sample: collections.abc.Callable[[], observe.BurnSample],
     ) -> None:
         self._host = host
+        self._sample = sample
         self._book = book
         self._orders = orders
         self._metrics = metrics
@@ -55,7 +58,9 @@
         elif name == "order-ids" and request.method == "POST":
             await self._order_ids(request, exchange)
         elif name == "explain" and rest:
-            await self._explain(model.RequestId(rest), exchange)
+            await self._explain(rest, exchange)
+        elif name == "histograms":
+            await _json(exchange, 200, self._sample())
         elif name == "status":
             await _json(exchange, 200, self._host.details())
         else:
@@ -126,14 +131,22 @@
             return
         await _json(exchange, 200, {"order_ids": issued.ok})
 
-    async def _explain(
-        self, request: model.RequestId, exchange: exchanges.Exchange
-    ) -> None:
-        decisions = self._journal.of_request(request)
+    async def _explain(self, name: str, exchange: exchanges.Exchange) -> None:
+        """Answer the decisions about a request, target or team."""
+        decisions = (
+            self._journal.of_request(model.RequestId(name))
+            or self._journal.of_target(model.TargetId(name))
+            or self._journal.of_team(model.TeamId(name))
+        )
         await _json(
             exchange,
             200 if decisions else 404,
-            {"request_id": request, "decisions": decisions},
+            {
+                "request_id": name,
+                "host": self._host.details()["host"],
+                "version": self._host.view.version,
+                "decisions": decisions,
+            },
         )
 
 
--- a/src/pomeloward/entry/handler.py
+++ b/src/pomeloward/entry/handler.py
@@ -127,23 +127,24 @@
             request, grant, body, now_ms, work.evidence
         )
         if not grant.route.is_idempotent:
-            await self._run_order(request, outgoing, body, exchange)
+            await self._run_order(request, work, outgoing, body, exchange)
             return
         refusal = await self._take_rate(grant.team)
         if refusal is not None:
-            await self._refuse(exchange, refusal, grant.team)
+            await self._refuse(exchange, refusal, grant)
             return
         result = await self._dispatcher.send(outgoing)
         body.stop()
         if result.is_error():
-            await self._refuse(exchange, result.error.refusal, grant.team)
+            await self._refuse(exchange, result.error.refusal, grant)
             return
         answer = result.ok
         self._recorder.answered(
             request.id,
-            grant.route.id,
+            grant.route,
             grant.team,
             answer.target,
+            answer.status,
             anyio.current_time() * 1_000 - now_ms,
         )
         await delivery.deliver(answer, exchange)
@@ -151,15 +152,26 @@
     async def _run_order(
         self,
         request: callerrequest.CallerRequest,
+        work: openwork.Work,
         outgoing: dispatch.TargetRequest,
         body: bodies.RequestBody,
         exchange: exchanges.Exchange,
     ) -> None:
+        started_ms = anyio.current_time() * 1_000
+        grant = work.grant
         result = await self._orders.run(request, outgoing, body)
         if result.is_error():
-            await self._refuse(exchange, result.error, outgoing.team)
+            await self._refuse(exchange, result.error, grant)
             return
         answer = result.ok
+        self._recorder.answered(
+            request.id,
+            grant.route,
+            grant.team,
+            None,
+            answer.status,
+            anyio.current_time() * 1_000 - started_ms,
+        )
         await exchange.start(answer.status, list(answer.headers))
         await exchange.finish(answer.body)
 
@@ -173,9 +185,11 @@
         self,
         exchange: exchanges.Exchange,
         refusal: model.Refusal,
-        team: model.TeamId | None = None,
+        grant: grants.Grant | None = None,
     ) -> None:
-        self._recorder.refused(refusal, exchange.request, team)
+        team = grant.team if grant else None
+        service = grant.route.service if grant else None
+        self._recorder.refused(refusal, exchange.request, team, service)
         headers = []
         if refusal.kind in _ELSEWHERE:
             now_ms = anyio.current_time() * 1_000
@@ -192,7 +206,8 @@
         refusal = model.Refusal(
             work.ended_by, f"the request was ended: {work.ended_by.value}"
         )
-        self._recorder.refused(refusal, work.request, work.grant.team)
+        service = work.grant.route.service
+        self._recorder.refused(refusal, work.request, work.grant.team, service)
         if exchange.is_started:
             await exchange.abort()
         elif work.ended_by is not model.ErrorKind.CALLER_GONE:
--- a/src/pomeloward/entry/recorder.py
+++ b/src/pomeloward/entry/recorder.py
@@ -1,10 +1,17 @@
 """Records the end of each request."""
 
+import collections.abc
+
 import anyio
 
+from pomeloward import catalog
 from pomeloward import model
 from pomeloward import observe
 
+ZoneOf = collections.abc.Callable[
+    [model.ServiceId, model.TargetId], model.ZoneId | None
+]
+
 
 class Recorder:
     """Writes metrics, journal and log of requests.
@@ -18,10 +25,14 @@
         metrics: observe.Metrics,
         journal: observe.Journal,
         log: observe.Log,
+        burn: observe.BurnMeter,
+        zone_of: ZoneOf,
     ) -> None:
         self._metrics = metrics
         self._journal = journal
         self._log = log
+        self._burn = burn
+        self._zone_of = zone_of
 
     def decision(
         self,
@@ -48,8 +59,15 @@
         refusal: model.Refusal,
         request: model.RequestId,
         team: model.TeamId | None = None,
+        service: model.ServiceId | None = None,
     ) -> None:
-        """Record a refusal."""
+        """Record a refusal.
+
+        It counts against the service's level where the fleet or a target
+        is the reason, and not the caller.
+        """
+        if service is not None and refusal.rule.status >= 500:
+            self._burn.record(team, service, None, is_good=False)
         kind = refusal.kind.value
         self._metrics.count("pomeloward_refusals_total", (("kind", kind),))
         self._journal.record(
@@ -65,18 +83,22 @@
     def answered(
         self,
         request: model.RequestId,
-        route: model.RouteId,
+        route: catalog.Route,
         team: model.TeamId,
-        target: model.TargetId,
-        added_ms: float,
+        target: model.TargetId | None,
+        status: int,
+        elapsed_ms: float,
     ) -> None:
-        """Record the head of a target's answer."""
-        self._metrics.observe_ms("pomeloward_head_seconds", added_ms)
+        """Record the head of an answer; an order's has no target."""
+        self._metrics.observe_ms("pomeloward_head_seconds", elapsed_ms)
+        zone = self._zone_of(route.service, target) if target else None
+        is_good = status < 500
+        self._burn.record(team, route.service, zone, is_good, elapsed_ms)
         self._journal.record(
             observe.Decision(
                 at_ms=anyio.current_time() * 1_000,
                 kind="answered",
-                reason=route,
+                reason=route.id,
                 request=request,
                 team=team,
                 target=target,
--- a/src/pomeloward/gateway/assembly.py
+++ b/src/pomeloward/gateway/assembly.py
@@ -34,6 +34,7 @@
         rng: random.Random,
     ) -> None:
         self._settings = host_settings
+        self._incarnation = incarnation
         self._foundation = foundation
         self.open_work = entry.OpenWork()
         self.metrics = observe.Metrics()
@@ -64,7 +65,10 @@
         )
         logs = host_settings.logs
         log = observe.Log(logs.request_ratio, logs.refusals_per_s, rng)
-        self.recorder = entry.Recorder(self.metrics, self.journal, log)
+        self.burn = observe.BurnMeter()
+        self.recorder = entry.Recorder(
+            self.metrics, self.journal, log, self.burn, self._zone_of
+        )
         self.metrics.gauge(
             "pomeloward_open_requests", lambda: len(self.open_work)
         )
@@ -76,6 +80,7 @@
             rng,
         )
         self._book.configure(foundation.view)
+        self.shared.controllers.on_change = self._on_target
         foundation.on_view(self._on_view)
 
     def application(self) -> entry.Application:
@@ -112,6 +117,7 @@
                 parts.orders,
                 self.metrics,
                 self.journal,
+                self._burn_sample,
             ),
             self.recorder,
             limits,
@@ -134,6 +140,22 @@
             with anyio.CancelScope(shield=True):
                 await self._links.aclose()
 
+    def _burn_sample(self) -> observe.BurnSample:
+        return self.burn.sample(self._settings.host, self._incarnation)
+
+    def _on_target(
+        self, service: model.ServiceId, target: model.TargetId, reason: str
+    ) -> None:
+        self.recorder.decision(
+            "target_state", f"{service}: {reason}", target=target
+        )
+
+    def _zone_of(
+        self, service: model.ServiceId, target: model.TargetId
+    ) -> model.ZoneId | None:
+        found = self._targets.target(service, target)
+        return found.zone if found else None
+
     def _on_view(self, view: catalog.View) -> None:
         self._book.configure(view)
         ended = self.open_work.end_withdrawn(view)
--- a/src/pomeloward/gateway/condition.py
+++ b/src/pomeloward/gateway/condition.py
@@ -41,6 +41,7 @@
             "contacts": len(members.contacts()),
             "ready_hosts": len(members.ready_hosts(now_ms)),
             "partitions": self._owned(now_ms),
+            **self._foundation.facts(now_ms),
         }
 
     def _owned(self, now_ms: float) -> int:
--- a/src/pomeloward/gateway/fleet.py
+++ b/src/pomeloward/gateway/fleet.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import random
+import typing
 
 import anyio
 import httpx
@@ -56,7 +57,10 @@
         self._catalog.subscribe(self._in_force)
         self.view: catalog.View = cachedview.CachedView(spreader.view)
         self._choice = platform.ReaderChoice(host, rng, now_ms)
-        self._budget = platform.ReadBudget(rng, now_ms)
+        spread_ms = (
+            platform.BOOTSTRAP_SPREAD_MS if host_settings.seeds else 0.0
+        )
+        self._budget = platform.ReadBudget(rng, now_ms, spread_ms)
         self._roll = membership.Roll(host, self._region, incarnation)
         self.members: membership.Membership = self._roll
         self._heartbeats = membership.Heartbeats(
@@ -76,6 +80,13 @@
         zone = model.ZoneId(host_settings.zone)
         self._choice.on_hosts(self._region, {host: zone}, now_ms)
 
+    def facts(self, now_ms: float) -> dict[str, typing.Any]:
+        """Return facts of the configuration for the status page."""
+        return {
+            "rejection": self._spreader.rejection,
+            "behind_ms": round(self._spreader.behind_ms(now_ms)),
+        }
+
     def on_view(self, callback: foundation.OnView) -> None:
         """Register for each configuration that comes in force."""
         self._callbacks.append(callback)
--- a/src/pomeloward/gateway/foundation.py
+++ b/src/pomeloward/gateway/foundation.py
@@ -34,6 +34,9 @@
     def members(self) -> membership.Membership:
         """States of hosts, and this host's standing."""
 
+    def facts(self, now_ms: float) -> dict[str, typing.Any]:
+        """Return facts of the configuration for the status page."""
+
     def on_view(self, callback: OnView) -> None:
         """Register for each configuration that comes in force."""
 
--- a/src/pomeloward/gateway/shared.py
+++ b/src/pomeloward/gateway/shared.py
@@ -45,7 +45,7 @@
         self.budget = budget.BudgetClient(
             host, peers, self._lending, places, rng
         )
-        self._controllers = service.Controllers(
+        self.controllers = service.Controllers(
             host, region, peers, owners, ownership.partition_of, now_ms, rng
         )
         self.slots = service.ServiceClient(
@@ -59,14 +59,12 @@
             rng,
             probe=probe,
         )
-        self.slots.set_local(self._controllers.handle_report)
-        self._controllers.on_local_nudge = lambda nudge: peers.tell(
-            host, nudge
-        )
+        self.slots.set_local(self.controllers.handle_report)
+        self.controllers.on_local_nudge = lambda nudge: peers.tell(host, nudge)
         self.admission = queue.Admission(self.slots, now_ms)
         self.users: list[ownership.PartitionUser] = [
             self._lending,
-            self._controllers,
+            self.controllers,
         ]
         self._claims: fleetorders.FleetOrders | None = None
         self.orders: entry.Orders = localorders.LocalOrders()
@@ -87,7 +85,7 @@
         self._configure(self._foundation.view)
         async with anyio.create_task_group() as tasks:
             await tasks.start(self.budget.run)
-            tasks.start_soon(self._controllers.run)
+            tasks.start_soon(self.controllers.run)
             tasks.start_soon(self.slots.run)
             if self._claims is not None:
                 await tasks.start(self._claims.run)
@@ -96,7 +94,7 @@
     def _configure(self, view: catalog.View) -> None:
         now = now_ms()
         self._lending.on_configuration(now)
-        self._controllers.configure(view, now)
+        self.controllers.configure(view, now)
         self.slots.configure(view)
         if self._claims is not None:
             self._claims.shell.on_configuration(now)
--- a/src/pomeloward/gateway/sole.py
+++ b/src/pomeloward/gateway/sole.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import pathlib
+import typing
 
 import anyio
 import msgspec
@@ -52,6 +53,10 @@
         self.members: membership.Membership = self._alone
         self._callbacks: list[foundation.OnView] = []
 
+    def facts(self, now_ms: float) -> dict[str, typing.Any]:
+        """Return facts of the configuration for the status page."""
+        return {"rejection": "", "behind_ms": 0}
+
     def on_view(self, callback: foundation.OnView) -> None:
         """Register for a replaced configuration."""
         self._callbacks.append(callback)
--- a/src/pomeloward/service/controllers.py
+++ b/src/pomeloward/service/controllers.py
@@ -12,6 +12,7 @@
 from pomeloward.service import controller as controller_
 from pomeloward.service import messages
 from pomeloward.service import owners as owners_
+from pomeloward.service import targetstate
 from pomeloward.service import tuning as tuning_
 
 # Targets are judged four times a second; nudges wait at most this long.
@@ -53,6 +54,10 @@
         self._view: catalog.View | None = None
         self._held: dict[model.PartitionId, model.Epoch] = {}
         self._controllers: dict[model.ServiceId, controller_.Controller] = {}
+        self._noted: dict[model.ServiceId, bytes] = {}
+        self.on_change: collections.abc.Callable[
+            [model.ServiceId, model.TargetId, str], None
+        ] = lambda service, target, reason: None
         self.on_local_nudge: collections.abc.Callable[
             [messages.Nudge], None
         ] = lambda nudge: None
@@ -133,8 +138,31 @@
             now_ms = self._clock()
             for controller in list(self._controllers.values()):
                 controller.tick(now_ms)
+                self._note_changes(controller, now_ms)
                 self._nudge(controller, now_ms)
 
+    def _note_changes(
+        self, controller: controller_.Controller, now_ms: float
+    ) -> None:
+        """Tell each change of a target's state with its evidence."""
+        records = controller.targets.records
+        states = bytes(record.state for record in records)
+        before = self._noted.get(controller.service, b"")
+        if states == before:
+            return
+        self._noted[controller.service] = states
+        if len(before) != len(states):
+            return
+        span_ms = max(self._tuning.windows_ms)
+        for record, old, new in zip(records, before, states, strict=True):
+            if old != new:
+                sums = record.window.sums(span_ms, now_ms)
+                reason = (
+                    f"{targetstate.TargetState(old).name} to "
+                    f"{targetstate.TargetState(new).name}: {sums.describe()}"
+                )
+                self.on_change(controller.service, record.id, reason)
+
     def _nudge(
         self, controller: controller_.Controller, now_ms: float
     ) -> None:
--- a/src/pomeloward/service/window.py
+++ b/src/pomeloward/service/window.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 
 from pomeloward import model
 from pomeloward.service import messages
@@ -31,6 +32,14 @@
             self.samples += samples
             self.nats += nats
 
+    def describe(self) -> str:
+        """Return the sums as text for a person."""
+        factor = math.exp(self.nats / self.samples) if self.samples else 1.0
+        return (
+            f"{self.count} answers, {self.errors} errors, {self.sheds} sheds, "
+            f"{factor:.2f} times the usual latency in {self.samples} samples"
+        )
+
 
 class Window:
     """Evidence of one target in sliding intervals.
