Give idle slots back to hosts that need them

Change: the reserve counts all reporting hosts and ends while a request waits; holders of idle slots are nudged, and confirm what they give back at once. Ejection needs z 5 and ratio 5, chosen on the curve.

--- a/src/pomeloward/service/client.py
+++ b/src/pomeloward/service/client.py
@@ -168,8 +168,9 @@
         if not isinstance(answer, messages.Answer):
             return None
         if self._probe is not None and self._tasks is not None:
-            for target in self._channels[service].slots.probed(answer):
-                self._tasks.start_soon(self._run_probe, service, target)
+            ids = self._channels[service].slots.table()
+            for index in answer.probes if answer.is_agreed else ():
+                self._tasks.start_soon(self._run_probe, service, ids[index])
         return answer
 
     async def _ask(
--- a/src/pomeloward/service/demand.py
+++ b/src/pomeloward/service/demand.py
@@ -89,8 +89,14 @@
         self._is_contended = want > capacity
         if not self._is_contended:
             self._divided_ms = float("-inf")
-            spare = (capacity - want) // (2 * max(1, len(live)))
+            spare = (capacity - want) // (2 * self._reporting(now_ms))
             reserve = min(_MAX_RESERVE, spare)
+            if any(
+                self._unmet(other) > 0
+                for name, other in live.items()
+                if name != host
+            ):
+                reserve = 0
             return record.want + reserve, reserve
         if now_ms - self._divided_ms >= _ROUND_MS:
             self._divided_ms = now_ms
@@ -122,7 +128,10 @@
         ]
         if short:
             short.sort(key=lambda host: -self._unmet(live[host]))
-            names += short[: free()]
+            count = free()
+            names += short[:count]
+            if count < len(short):
+                names += self._with_reserve()
         chosen = []
         for host in names:
             record = self._hosts.get(host)
@@ -132,6 +141,23 @@
             chosen.append(host)
         return chosen
 
+    def _with_reserve(self) -> list[model.HostId]:
+        """Return the hosts that hold idle slots which others need."""
+        return [
+            host
+            for host, record in self._hosts.items()
+            if record.granted > record.want
+        ]
+
+    def _reporting(self, now_ms: float) -> int:
+        return max(
+            1,
+            sum(
+                now_ms - record.seen_ms < _SILENT_MS
+                for record in self._hosts.values()
+            ),
+        )
+
     def _unmet(self, record: hostrecord.HostRecord) -> int:
         goal = record.want
         if self._is_contended:
--- a/src/pomeloward/service/hostslots.py
+++ b/src/pomeloward/service/hostslots.py
@@ -57,7 +57,7 @@
         slots: collections.abc.Mapping[model.TargetId, int],
         stopped: collections.abc.Iterable[model.TargetId],
     ) -> None:
-        """Take the targets' slots, and the targets without new work."""
+        """Take the targets' slots and those without new work."""
         self._slots = dict(slots)
         self._stopped = frozenset(stopped)
 
@@ -88,10 +88,11 @@
         if not self.has_loan(now_ms):
             return None
         out = self._stopped | self.avoided(now_ms)
+        busy = self.runs.in_use
         idle = [
-            (count - self.runs.in_use.get(target, 0), target)
+            (count - busy.get(target, 0), target)
             for target, count in self._granted.items()
-            if count > self.runs.in_use.get(target, 0) and target not in out
+            if count > busy.get(target, 0) and target not in out
         ]
         usable = [pair for pair in idle if pair[1] not in avoid]
         if not usable:
@@ -168,7 +169,7 @@
         )
 
     def apply(self, answer: messages.Answer) -> bool:
-        """Apply an answer; return whether to report again at once."""
+        """Apply an answer; return whether to agree or give back at once."""
         if answer.sequence != self._sequence or answer.epoch < self._epoch:
             return False
         self._epoch = answer.epoch
@@ -178,6 +179,7 @@
         if not answer.is_agreed:
             return answer.epoch > 0
         ids = list(self._index)
+        earlier = self._granted
         self._granted = {ids[index]: count for index, count in answer.grants}
         self._permission = model.Permission(
             self._asked_ms, self._tuning.loan_ms
@@ -187,12 +189,15 @@
         self._states_version = answer.version
         self._avoid_slots = answer.avoid_slots
         self._reserve = answer.reserve
-        return False
+        return any(
+            count
+            > max(self._granted.get(one, 0), self.runs.in_use.get(one, 0))
+            for one, count in earlier.items()
+        )
 
-    def probed(self, answer: messages.Answer) -> list[model.TargetId]:
-        """Return the targets that an answer asks this host to probe."""
-        ids = list(self._index)
-        return [ids[index] for index in answer.probes if index < len(ids)]
+    def table(self) -> list[model.TargetId]:
+        """Return the targets that indexes refer to."""
+        return list(self._index)
 
     def _take_table(self, targets: tuple[model.TargetId, ...]) -> None:
         self._states = _reorder(self._states, list(self._index), targets)
--- a/src/pomeloward/service/tuning.py
+++ b/src/pomeloward/service/tuning.py
@@ -27,8 +27,8 @@
     evaluate_ms: float = 250.0
     # Evaluations in a row that must agree before an ejection.
     confirmations: int = 2
-    z_score: float = 4.5
-    min_ratio: float = 3.0
+    z_score: float = 5.0
+    min_ratio: float = 5.0
     fall_ratio: float = 2.0
     min_count: int = 4
     min_peers: int = 4
--- a/tests/service/test_scenarios.py
+++ b/tests/service/test_scenarios.py
@@ -304,6 +304,25 @@
         assert set(states(world).values()) == {STATE.WARM}, number
 
 
+def test_idle_slots_go_to_a_host_that_needs_them():
+    """Guards against slots that idle hosts keep while a request waits."""
+    world = world_.World(targets=6, slots=1)
+    idle, other, busy = world.hosts
+    for host in (idle, other, busy):
+        world.exchange(host)
+    for _ in range(3):
+        world.advance(300)
+        world.exchange(idle)
+        world.exchange(other)
+    work(world, busy, 6)
+    nudged = world.controller.nudges(world.controller_ms())
+    for host in world.hosts:
+        if host.name in nudged:
+            world.exchange(host)
+    work(world, busy, 6)
+    assert len(busy.runs) == 6
+
+
 def test_slow_route_ejects_no_target():
     """Guards against targets that serve more of a slow route than others."""
     world = world_.World()
