Tell terms apart by a random number beside the epoch

Change: ids, intents, clocks and reads carry the epoch and a random number of the term; a voter refuses other terms of the epoch that read it last.

--- a/src/pomeloward/orders/attempt.py
+++ b/src/pomeloward/orders/attempt.py
@@ -96,7 +96,7 @@
         intent = messages.RecordIntent(
             order=self._order,
             attempt=self._number,
-            epoch=answer.epoch,
+            term=answer.term,
             owner_now_ms=answer.owner_now_ms,
         )
         is_recorded = await self._questions.record(
--- a/src/pomeloward/orders/historyreader.py
+++ b/src/pomeloward/orders/historyreader.py
@@ -34,7 +34,7 @@
     async def read(
         self,
         partition: model.PartitionId,
-        epoch: model.Epoch,
+        term: messages.Term,
         electorate: messages.Electorate,
     ) -> recovery.Recovery:
         """Return what could be read in time."""
@@ -49,7 +49,7 @@
                         self._read_voter,
                         voter,
                         messages.ReadHistory(
-                            partition=partition, epoch=epoch, after=0
+                            partition=partition, term=term, after=0
                         ),
                         known,
                         group.cancel_scope,
@@ -73,7 +73,7 @@
                 break
             question = messages.ReadHistory(
                 partition=question.partition,
-                epoch=question.epoch,
+                term=question.term,
                 after=part.last,
             )
         if known.is_complete:
--- a/src/pomeloward/orders/ledger.py
+++ b/src/pomeloward/orders/ledger.py
@@ -27,13 +27,13 @@
 
     def __init__(
         self,
-        epoch: model.Epoch,
+        term: messages.Term,
         layout: int,
         now_ms: float,
         horizon_ms: float = horizon.HORIZON_MS,
     ) -> None:
         """Create the ledger of an owner that knows nothing yet."""
-        self.epoch = epoch
+        self.term = term
         self._layout = layout
         self._horizon_ms = horizon_ms
         self._keep_ms = horizon.retention_ms(horizon_ms)
@@ -42,7 +42,7 @@
         self._permits_end_ms = model.outstanding_until_ms(
             now_ms, horizon.PERMIT_MS
         )
-        self._clocks: dict[model.Epoch, float] = {epoch: 0.0}
+        self._clocks: dict[messages.Term, float] = {term: 0.0}
         self._entries = entries.Entries(self._keep_ms)
         self._is_ready = False
 
@@ -61,7 +61,7 @@
         if known.layout != self._layout:
             self._complete_from_ms = self._memory_from(now_ms)
         for clock in known.clocks[-_MAX_CLOCKS:]:
-            self._clocks[clock.epoch] = clock.now_ms - now_ms
+            self._clocks[clock.term] = clock.now_ms - now_ms
         for record in known.entries:
             until_ms = model.outstanding_until_ms(now_ms, record.remaining_ms)
             self._entries.put(
@@ -107,15 +107,13 @@
     ) -> messages.ClaimAnswer:
         """Decide whether an attempt may run.
 
-        The shell adds epoch and voters to an answer ``RUN``.
+        The shell adds the voters to an answer ``RUN``.
         """
         order = question.order
         if not self._is_ready:
             return messages.ClaimAnswer(verdict=_VERDICT.UNAVAILABLE)
         if order.issued is None and order.layout != self._layout:
             return messages.ClaimAnswer(verdict=_VERDICT.UNAVAILABLE)
-        if order.issued is not None and order.issued.epoch > self.epoch:
-            return messages.ClaimAnswer(verdict=_VERDICT.UNAVAILABLE)
         found = self._entries.find(order.name, now_ms)
         if found is None:
             return self._claim_new(question, now_ms)
@@ -172,8 +170,10 @@
             for name, found in self._entries.items()
         )
         clocks = tuple(
-            messages.OwnerClock(epoch, now_ms + offset_ms)
-            for epoch, offset_ms in sorted(self._clocks.items())
+            messages.OwnerClock(term, now_ms + offset_ms)
+            for term, offset_ms in sorted(
+                self._clocks.items(), key=lambda item: item[0].epoch
+            )
         )
         incomplete_ms = max(0.0, self._complete_from_ms - now_ms)
         return msgspec.msgpack.encode(
@@ -222,7 +222,7 @@
         """Tell whether a run of this order would be found here."""
         if order.issued is None:
             return now_ms >= self._complete_from_ms
-        offset_ms = self._clocks.get(order.issued.epoch)
+        offset_ms = self._clocks.get(order.issued.term)
         if offset_ms is None:
             return False
         age_ms = now_ms + offset_ms - order.issued.birth_ms
@@ -232,7 +232,7 @@
         return messages.ClaimAnswer(
             verdict=_VERDICT.RUN,
             lifetime_ms=horizon.PERMIT_MS,
-            epoch=self.epoch,
+            term=self.term,
             owner_now_ms=now_ms,
         )
 
--- a/src/pomeloward/orders/messages.py
+++ b/src/pomeloward/orders/messages.py
@@ -12,10 +12,21 @@
 Electorate = tuple[tuple[model.HostId, ...], ...]
 
 
-class Issued(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """Where and when an id was issued, on its issuer's clock."""
+class Term(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One ownership of a partition.
+
+    ``number`` is random. It tells terms apart if epochs start again, after
+    most voters of a partition lost their memory.
+    """
 
     epoch: model.Epoch
+    number: int
+
+
+class Issued(msgspec.Struct, frozen=True, array_like=True):
+    """Where and when an id was issued, on its issuer's clock."""
+
+    term: Term
     birth_ms: int
 
 
@@ -70,7 +81,7 @@
     verdict: Verdict
     answer: recordedanswer.RecordedAnswer | None = None
     lifetime_ms: float = 0.0
-    epoch: model.Epoch = model.Epoch(0)
+    term: Term = Term(model.Epoch(0), 0)
     owner_now_ms: float = 0.0
     electorate: Electorate = ()
     owner: model.HostId | None = None
@@ -84,7 +95,7 @@
 
     order: Order
     attempt: int
-    epoch: model.Epoch
+    term: Term
     owner_now_ms: float
 
 
@@ -118,21 +129,21 @@
     answer: recordedanswer.RecordedAnswer | None
 
 
-class OwnerClock(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """What an owner's clock shows at least, now."""
+class OwnerClock(msgspec.Struct, frozen=True, array_like=True):
+    """What the clock of a term's owner shows at least, now."""
 
-    epoch: model.Epoch
+    term: Term
     now_ms: float
 
 
 class ReadHistory(peer.Message, frozen=True, tag="read_history"):
     """A new owner asks a voter for intents after a sequence number.
 
-    From then on the voter records no intent of an earlier epoch.
+    From then on the voter records no intent of an earlier term.
     """
 
     partition: model.PartitionId
-    epoch: model.Epoch
+    term: Term
     after: int
 
 
--- a/src/pomeloward/orders/orderid.py
+++ b/src/pomeloward/orders/orderid.py
@@ -16,7 +16,7 @@
 
 class _Content(msgspec.Struct, frozen=True, array_like=True):
     partition: model.PartitionId
-    epoch: model.Epoch
+    term: messages.Term
     birth_ms: int
     random: bytes
 
@@ -38,7 +38,7 @@
     """Makes and checks ids under the secret of the fleet.
 
     An id is readable by its team but cannot be made by it: a team that
-    chose epoch or birth could make a forgotten order look new. The MAC is
+    chose term or birth could make a forgotten order look new. The MAC is
     HMAC-SHA-256 (RFC 2104) cut to 128 bits, over the team and the content.
     """
 
@@ -55,7 +55,7 @@
     ) -> str:
         """Return a new id."""
         content = msgspec.msgpack.encode(
-            _Content(partition, issued.epoch, issued.birth_ms, random_part)
+            _Content(partition, issued.term, issued.birth_ms, random_part)
         )
         raw = self._mac(team, content) + content
         return _PREFIX + base64.urlsafe_b64encode(raw).decode().rstrip("=")
@@ -73,7 +73,7 @@
         found = msgspec.msgpack.decode(content, type=_Content)
         name = hashlib.sha256(content).digest()[:_MAC_BYTES]
         return OrderId(
-            name, found.partition, messages.Issued(found.epoch, found.birth_ms)
+            name, found.partition, messages.Issued(found.term, found.birth_ms)
         )
 
     def _mac(self, team: model.TeamId, content: bytes) -> bytes:
--- a/src/pomeloward/orders/recovery.py
+++ b/src/pomeloward/orders/recovery.py
@@ -16,7 +16,7 @@
         self._electorate = electorate
         self._orders: dict[bytes, _Attempts] = {}
         self._complete: set[model.HostId] = set()
-        self._clocks: dict[model.Epoch, float] = {}
+        self._clocks: dict[messages.Term, float] = {}
 
     @property
     def is_complete(self) -> bool:
@@ -35,12 +35,12 @@
         for clock in part.clocks:
             # Each voter knows a lower bound of the old owner's clock.
             offset_ms = clock.now_ms - now_ms
-            known_ms = self._clocks.get(clock.epoch, offset_ms)
-            self._clocks[clock.epoch] = max(known_ms, offset_ms)
+            known_ms = self._clocks.get(clock.term, offset_ms)
+            self._clocks[clock.term] = max(known_ms, offset_ms)
         if part.is_end and part.is_complete:
             self._complete.add(voter)
 
-    def clocks(self) -> dict[model.Epoch, float]:
+    def clocks(self) -> dict[messages.Term, float]:
         """Return by how much old owners' clocks are ahead of this one's."""
         return dict(self._clocks) if self.is_complete else {}
 
--- a/src/pomeloward/orders/shell.py
+++ b/src/pomeloward/orders/shell.py
@@ -51,7 +51,7 @@
         self._witness = witness.Witness(started_ms)
         self._ledgers: dict[model.PartitionId, ledger.Ledger] = {}
         self._group: anyio.abc.TaskGroup | None = None
-        self._waiting: list[tuple[model.PartitionId, model.Epoch]] = []
+        self._waiting: list[tuple[model.PartitionId, messages.Term]] = []
         peers.handle(messages.ClaimOrder, self.on_claim)
         peers.handle(messages.SettleOrder, self.on_settle)
         peers.handle(messages.IssueIds, self.on_issue)
@@ -66,8 +66,8 @@
         """Read histories after crashes and prune, until cancelled."""
         async with anyio.create_task_group() as group:
             self._group = group
-            for partition, epoch in self._waiting:
-                group.start_soon(self._recover, partition, epoch)
+            for partition, term in self._waiting:
+                group.start_soon(self._recover, partition, term)
             self._waiting = []
             task_status.started()
             while True:
@@ -84,14 +84,15 @@
     ) -> None:
         """Start to own a partition, and read its history if needed."""
         layout = orderscope.layout_of(self._view())
-        held = ledger.Ledger(epoch, layout, now_ms)
+        term = messages.Term(epoch, secrets.randbits(62))
+        held = ledger.Ledger(term, layout, now_ms)
         self._ledgers[partition] = held
         if held.begin(state or b"", now_ms):
             return
         if self._group is None:
-            self._waiting.append((partition, epoch))
+            self._waiting.append((partition, term))
         else:
-            self._group.start_soon(self._recover, partition, epoch)
+            self._group.start_soon(self._recover, partition, term)
 
     def on_lost(self, partition: model.PartitionId, now_ms: float) -> None:
         """Stop to own a partition."""
@@ -126,7 +127,7 @@
         return messages.ClaimAnswer(
             verdict=answer.verdict,
             lifetime_ms=answer.lifetime_ms,
-            epoch=answer.epoch,
+            term=answer.term,
             owner_now_ms=answer.owner_now_ms,
             electorate=self._electorates(partition),
         )
@@ -146,10 +147,10 @@
     ) -> messages.IssuedIds:
         """Issue ids."""
         assert isinstance(message, messages.IssueIds)
-        epoch = self._holdings.holds(message.partition, now_ms)
-        if epoch is None or not 0 < message.count <= _MAX_ISSUED:
+        held = self._held(message.partition, now_ms)
+        if held is None or not 0 < message.count <= _MAX_ISSUED:
             return messages.IssuedIds()
-        issued = messages.Issued(epoch, int(now_ms))
+        issued = messages.Issued(held.term, int(now_ms))
         return messages.IssuedIds(
             ids=tuple(
                 self._ids.make(
@@ -184,17 +185,17 @@
         epoch = self._holdings.holds(partition, now_ms)
         held = self._ledgers.get(partition)
         # A ledger of an earlier epoch may lack what an owner between did.
-        return held if held and held.epoch == epoch else None
+        return held if held and held.term.epoch == epoch else None
 
     async def _recover(
-        self, partition: model.PartitionId, epoch: model.Epoch
+        self, partition: model.PartitionId, term: messages.Term
     ) -> None:
         held = self._ledgers.get(partition)
         reader = historyreader.HistoryReader(
             self._host, self._peers, self.on_read
         )
         known = await reader.read(
-            partition, epoch, self._electorates(partition)
+            partition, term, self._electorates(partition)
         )
         if held is not None and self._ledgers.get(partition) is held:
             held.recover(known, now_ms())
--- a/src/pomeloward/orders/witness.py
+++ b/src/pomeloward/orders/witness.py
@@ -29,18 +29,18 @@
     """Intents of one partition, oldest first."""
 
     def __init__(self) -> None:
-        self.sealed = model.Epoch(0)
+        self.sealed = messages.Term(model.Epoch(0), 0)
         self.intents: dict[_Name, _Intent] = {}
         self.counts: collections.Counter[model.TeamId] = collections.Counter()
-        self.clocks: dict[model.Epoch, tuple[float, float]] = {}
+        self.clocks: dict[messages.Term, tuple[float, float]] = {}
         self.last = 0
 
 
 class Witness:
     """Remembers which orders may have run, for owners to come.
 
-    A new owner reads the memory under its epoch. From then on intents of
-    earlier epochs are refused, so none can be missing in what it read.
+    A new owner reads the memory under its term. From then on intents of
+    earlier terms are refused, so none can be missing in what it read.
     Times are milliseconds of the voter's clock.
     """
 
@@ -66,7 +66,7 @@
             return False
         memory = self._memory(intent.order.partition, now_ms)
         name = (intent.order.name, intent.attempt)
-        if intent.epoch < memory.sealed:
+        if _is_before(intent.term, memory.sealed):
             return False
         if name in memory.intents:
             return True
@@ -100,9 +100,9 @@
     ) -> messages.History | None:
         """Answer a new owner; None if a later one has read before."""
         memory = self._memory(question.partition, now_ms)
-        if question.epoch < memory.sealed:
+        if _is_before(question.term, memory.sealed):
             return None
-        memory.sealed = question.epoch
+        memory.sealed = question.term
         found = [
             intent
             for intent in memory.intents.values()
@@ -113,8 +113,8 @@
             is_complete=self.is_complete(now_ms),
             intents=tuple(_state(intent) for intent in part),
             clocks=tuple(
-                messages.OwnerClock(epoch, owner_ms + now_ms - received_ms)
-                for epoch, (owner_ms, received_ms) in memory.clocks.items()
+                messages.OwnerClock(term, owner_ms + now_ms - received_ms)
+                for term, (owner_ms, received_ms) in memory.clocks.items()
             ),
             last=part[-1].sequence if part else question.after,
             is_end=len(part) == len(found),
@@ -132,12 +132,19 @@
     def _note_clock(
         self, memory: _Memory, intent: messages.RecordIntent, now_ms: float
     ) -> None:
-        known = memory.clocks.get(intent.epoch)
+        known = memory.clocks.get(intent.term)
         if known is None or known[0] < intent.owner_now_ms:
-            memory.clocks[intent.epoch] = (intent.owner_now_ms, now_ms)
-        for epoch, (_, received_ms) in list(memory.clocks.items()):
+            memory.clocks[intent.term] = (intent.owner_now_ms, now_ms)
+        for term, (_, received_ms) in list(memory.clocks.items()):
             if now_ms - received_ms >= self._retention_ms:
-                del memory.clocks[epoch]
+                del memory.clocks[term]
+
+
+def _is_before(term: messages.Term, sealed: messages.Term) -> bool:
+    """Tell whether a term is not the one that read last, nor a later one."""
+    return term.epoch < sealed.epoch or (
+        term.epoch == sealed.epoch and term != sealed
+    )
 
 
 def _state(intent: _Intent) -> messages.IntentState:
--- a/tests/orders/test_ledger.py
+++ b/tests/orders/test_ledger.py
@@ -60,11 +60,12 @@
         }
         # The voters started long ago.
         self.voters = {voter: witness.Witness(-1e9) for voter in _VOTERS}
-        self.epoch, self.owner, self.change = 1, "v0", 0
-        self.ledger = ledger.Ledger(1, 0, -1e9)
+        self.term, self.owner, self.change = messages.Term(1, 0), "v0", 0
+        self.ledger = ledger.Ledger(self.term, 0, -1e9)
         self.ledger.recover(recovery.Recovery(_ELECTORATE), self.now("v0"))
         self.reading = None
         self.orders, self.first_ms, self.number = [], {}, 0
+        self.terms = 0
         self.runs, self.ran, self.unknown_at = [], {}, {}
         for _ in range(2):
             self.new_key()
@@ -80,7 +81,7 @@
     @stateful.rule()
     def issue(self):
         birth_ms = int(self.now(self.owner))
-        self.add_order(messages.Issued(self.epoch, birth_ms))
+        self.add_order(messages.Issued(self.term, birth_ms))
 
     def add_order(self, issued):
         name = f"order-{len(self.orders)}".encode()
@@ -245,7 +246,7 @@
         intent = messages.RecordIntent(
             order=run.order,
             attempt=run.number,
-            epoch=run.answer.epoch,
+            term=run.answer.term,
             owner_now_ms=run.answer.owner_now_ms,
         )
         in_time = model.Permission(run.asked_ms, horizon.INTENT_MS)
@@ -333,19 +334,23 @@
             self.read(voter)
         self.end_reading()
 
-    @stateful.rule(owner=strategies.sampled_from(_VOTERS))
-    def lose_owner(self, owner):
+    @stateful.rule(
+        owner=strategies.sampled_from(_VOTERS), grows=strategies.booleans()
+    )
+    def lose_owner(self, owner, grows=True):
+        """Elect another owner; voters without memory reuse an epoch."""
         self.owner = owner
-        self.epoch += 1
         self.change += 1
-        self.ledger = ledger.Ledger(self.epoch, 0, self.now(owner))
+        self.terms += 1
+        self.term = messages.Term(self.term.epoch + grows, self.terms)
+        self.ledger = ledger.Ledger(self.term, 0, self.now(owner))
         self.reading = recovery.Recovery(_ELECTORATE)
 
     @stateful.precondition(lambda self: self.reading)
     @stateful.rule(voter=strategies.sampled_from(_VOTERS))
     def read(self, voter):
         question = messages.ReadHistory(
-            partition="r/0", epoch=self.epoch, after=0
+            partition="r/0", term=self.term, after=0
         )
         part = self.voters[voter].read(question, self.now(voter))
         if part is not None:
@@ -366,8 +371,9 @@
         exported = self.ledger.export(self.now(self.owner))
         self.true_ms += delay
         self.owner = owner
-        self.epoch += 1
-        self.ledger = ledger.Ledger(self.epoch, 0, self.now(owner))
+        self.terms += 1
+        self.term = messages.Term(self.term.epoch + 1, self.terms)
+        self.ledger = ledger.Ledger(self.term, 0, self.now(owner))
         self.ledger.begin(exported, self.now(owner))
 
 
--- a/tests/orders/test_orderid.py
+++ b/tests/orders/test_orderid.py
@@ -7,14 +7,16 @@
 from pomeloward.orders import orderid
 
 _IDS = orderid.OrderIds(b"secret")
-_TEXT = _IDS.make("r/1", "team", messages.Issued(7, 1234), b"random")
+_TEXT = _IDS.make(
+    "r/1", "team", messages.Issued(messages.Term(7, 5), 1234), b"random"
+)
 
 
 def test_an_id_is_read_back_by_its_team_only():
     """Guards against ids that another team made or found."""
     found = _IDS.parse("team", _TEXT)
     assert found.partition == "r/1"
-    assert found.issued == messages.Issued(7, 1234)
+    assert found.issued == messages.Issued(messages.Term(7, 5), 1234)
     assert _IDS.parse("other", _TEXT) is None
     assert orderid.OrderIds(b"other").parse("team", _TEXT) is None
 
--- a/tests/orders/test_witness.py
+++ b/tests/orders/test_witness.py
@@ -11,12 +11,17 @@
 def _intent(name=b"order", attempt=1, epoch=1, issued=None):
     order = messages.Order("r/0", name, "team", b"body", issued, 0)
     return messages.RecordIntent(
-        order=order, attempt=attempt, epoch=epoch, owner_now_ms=5_000.0
+        order=order,
+        attempt=attempt,
+        term=messages.Term(epoch, 1),
+        owner_now_ms=5_000.0,
     )
 
 
 def _read(voter, now_ms, epoch=2, after=0):
-    question = messages.ReadHistory(partition="r/0", epoch=epoch, after=after)
+    question = messages.ReadHistory(
+        partition="r/0", term=messages.Term(epoch, 1), after=after
+    )
     return voter.read(question, now_ms)
 
 
@@ -38,6 +43,9 @@
     assert not voter.record(_intent(epoch=1), 1.0)
     assert voter.record(_intent(epoch=2), 1.0)
     assert _read(voter, 2.0, epoch=1) is None
+    again = messages.Term(2, 7)
+    question = messages.ReadHistory(partition="r/0", term=again, after=0)
+    assert voter.read(question, 3.0) is None
 
 
 def test_a_full_memory_refuses_and_keeps_what_it_has():
@@ -64,7 +72,7 @@
         voter.record(_intent(), 0.0)
         assert known.clocks() == {}, number
         known.add(name, _read(voter, 100.0), 100.0)
-    assert known.clocks() == {1: 5_000.0}
+    assert known.clocks() == {messages.Term(1, 1): 5_000.0}
 
 
 def test_a_memory_becomes_complete_after_the_horizon():
