--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -139,7 +139,11 @@
             )
         )
     hosts = tuple(model.HostId(host_name(i)) for i in range(host_count))
-    made.append(catalog.Roster(REGION, 1, hosts))
+    zones = tuple(
+        model.ZoneId(plan.zones[i % len(plan.zones)])
+        for i in range(host_count)
+    )
+    made.append(catalog.Roster(REGION, 1, hosts, zones))
     return made
 
 
--- a/bench/plannedsize.py
+++ b/bench/plannedsize.py
@@ -61,13 +61,18 @@
     hosts = fleet()
     yield from hosts
     for region in range(SIZE.regions):
-        members = tuple(
-            each.id
+        members = [
+            each
             for each in hosts
             if isinstance(each, catalog.Host)
             and each.region == _region(region)
+        ]
+        yield catalog.Roster(
+            _region(region),
+            1,
+            tuple(each.id for each in members),
+            tuple(each.zone for each in members),
         )
-        yield catalog.Roster(_region(region), 1, members)
     for team in range(SIZE.teams):
         yield catalog.Team(_team(team), 10.0 + team % 7, 50.0)
     for key in range(SIZE.keys):
