Measure granted orders in the capacity run

Cause: bench/capacity/orders.py used epochs instead of terms, and its ledger was never ready and had another layout than its orders, so claims were answered UNAVAILABLE and neither memory nor time of a granted order counted. The capacity table was not run again.

--- a/bench/capacity/orders.py
+++ b/bench/capacity/orders.py
@@ -14,11 +14,14 @@
 from pomeloward.orders import ledger as ledgers
 from pomeloward.orders import messages
 from pomeloward.orders import recordedanswer
+from pomeloward.orders import recovery as recoveries
 from pomeloward.orders import witness as witnesses
 from pomeloward.peer import wire
 
 _VERDICT = messages.Verdict
-_EPOCH = model.Epoch(1_790_000_000_000)
+_TERM = messages.Term(model.Epoch(1_790_000_000_000), 2**61)
+# As long on the wire as a hash of 63 bits.
+_LAYOUT = 1 << 62
 _SIZES = (250, 500, 1_000, 2_000)
 _ANSWER = recordedanswer.RecordedAnswer(
     201, ((b"content-type", b"application/json"),), b"x" * 256
@@ -43,7 +46,7 @@
         messages.ClaimAnswer(
             verdict=_VERDICT.RUN,
             lifetime_ms=horizon.PERMIT_MS,
-            epoch=_EPOCH,
+            term=_TERM,
             owner_now_ms=123_456_789.125,
             electorate=electorate,
         )
@@ -109,7 +112,7 @@
         model.TeamId(f"team-{number % 64_000}"),
         number.to_bytes(32, "big"),
         None,
-        _big(number),
+        _LAYOUT,
     )
 
 
@@ -117,7 +120,7 @@
     return messages.RecordIntent(
         order=_order(number),
         attempt=_big(number),
-        epoch=_EPOCH,
+        term=_TERM,
         owner_now_ms=123_456_789.125,
     )
 
@@ -150,8 +153,8 @@
 
 
 def _own(count: int) -> object:
-    owner = ledgers.Ledger(_EPOCH, 0, -1e9)
-    owner.begin(b"", 0.0)
+    owner = ledgers.Ledger(_TERM, _LAYOUT, -1e9)
+    owner.recover(recoveries.Recovery(()), 0.0)
     for number in range(count):
         _claim(owner, number)
     return owner
@@ -161,14 +164,14 @@
     received = _received(_settle(number))
     assert isinstance(received, messages.SettleOrder)
     claim = messages.ClaimOrder(order=received.order, attempt=_big(number))
-    owner.claim(claim, 0.0)
+    assert owner.claim(claim, 0.0).verdict is _VERDICT.RUN
     owner.settle(received, 1.0)
 
 
 def _time(count: int) -> float:
     """Return the time of so many orders at one owner and its voters."""
-    owner = ledgers.Ledger(_EPOCH, 0, -1e9)
-    owner.begin(b"", 0.0)
+    owner = ledgers.Ledger(_TERM, _LAYOUT, -1e9)
+    owner.recover(recoveries.Recovery(()), 0.0)
     voters = [witnesses.Witness(-1e9) for _ in range(size.VOTERS)]
     intents = [_intent(number) for number in range(count)]
     settles = [_settle(number) for number in range(count)]
@@ -177,7 +180,7 @@
         claim = messages.ClaimOrder(
             order=intents[number].order, attempt=_big(number)
         )
-        owner.claim(claim, 0.0)
+        assert owner.claim(claim, 0.0).verdict is _VERDICT.RUN
         for voter in voters:
             voter.record(intents[number], 0.0)
             voter.settle(settles[number], 1.0)
