--- a/src/pomeloward/orders/caller.py
+++ b/src/pomeloward/orders/caller.py
@@ -13,7 +13,8 @@
 
 _ASK_TIMEOUT_MS = 300.0
 # Voters beyond the write quorum and one spare are asked after this; answers
-# take 1 to 2 ms within a region. Four of 7 voters cost 37% fewer bytes than all.
+# take 1 to 2 ms within a region. Four of 7 voters cost 37% fewer bytes than
+# all.
 _REST_AFTER_MS = 30.0
 
 
