Keep at most two of seven voters in the owner's zone

Cause: in regions of 3 zones the owner's zone had 3 of 7 voters, so its loss left 4 of the 5 that a complete history of orders needs. Change: the preferred zone takes the second turn among the zones.

--- a/src/pomeloward/ownership/placement.py
+++ b/src/pomeloward/ownership/placement.py
@@ -7,6 +7,10 @@
 from pomeloward.ownership import rendezvous
 
 VOTERS = 7
+# The preferred zone, which has the owner, takes the second turn. The first
+# gets 3 of 7 voters where there are 3 zones; with the owner among them, the
+# loss of the zone would take the complete history of orders.
+_PREFERRED_TURN = 1
 
 
 class Placement:
@@ -50,11 +54,12 @@
 
     def _choose_voters(self, number: int) -> tuple[model.HostId, ...]:
         by_zone: dict[model.ZoneId, list[model.HostId]] = {}
-        preferred = self.preferred_zone(number)
-        if preferred is not None:
-            by_zone[preferred] = []
         for host in rendezvous.ranked(str(number), self._hosts):
             by_zone.setdefault(self._zone_by_host[host], []).append(host)
-        turns = itertools.zip_longest(*by_zone.values())
+        preferred = self.preferred_zone(number)
+        own = [] if preferred is None else by_zone.pop(preferred, [])
+        lists = list(by_zone.values())
+        lists.insert(_PREFERRED_TURN, own)
+        turns = itertools.zip_longest(*lists)
         chosen = (host for turn in turns for host in turn if host is not None)
         return tuple(itertools.islice(chosen, VOTERS))
