--- a/src/pomeloward/address/book.py
+++ b/src/pomeloward/address/book.py
@@ -22,6 +22,9 @@
 # How long the list of usable hosts is kept; making it anew for each answer
 # would cost more than the answer.
 _CACHE_MS = 200.0
+# How long the number of partitions of each host is kept; it only weighs the
+# choice, and to count 640 partitions takes longer than all else.
+_OWNED_CACHE_MS = 2_000.0
 
 
 class AddressBook:
@@ -53,6 +56,7 @@
         self._usable: dict[model.HostId, addresses.Address] = {}
         self._usable_until_ms = float("-inf")
         self._owned: collections.Counter[model.HostId] = collections.Counter()
+        self._owned_until_ms = float("-inf")
         self._weights_by_counts: dict[
             tuple[int, int], list[tuple[model.HostId, float]]
         ] = {}
@@ -61,6 +65,7 @@
         """Take a new configuration."""
         self._view = view
         self._usable_until_ms = float("-inf")
+        self._owned_until_ms = float("-inf")
 
     def answer(
         self, team: model.TeamId | None, now_ms: float
@@ -156,7 +161,9 @@
                 for host in self._view.hosts()
                 if host.region == self._region and host.id != self._own
             ]
-        self._owned = self._count_owned(self._view, now_ms)
+        if now_ms >= self._owned_until_ms:
+            self._owned_until_ms = now_ms + _OWNED_CACHE_MS
+            self._owned = self._count_owned(self._view, now_ms)
         self._weights_by_counts = {}
         self._usable = {}
         for host in hosts:
--- a/src/pomeloward/budget/borrower.py
+++ b/src/pomeloward/budget/borrower.py
@@ -19,6 +19,9 @@
 # An owner that did not answer is not asked for this long: its loans may be
 # lost on the way, and each attempt costs the caller a timeout.
 _AVOID_MS = 500.0
+# How often unused wallets are looked for. With 500 teams the look took most
+# of a sweep, and sweeps come every 50 ms.
+_FORGET_MS = 1_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +47,7 @@
         self._next_number = rng.getrandbits(52)
         self._wallets: dict[model.TeamId, wallet.Wallet] = {}
         self._questions: dict[int, _Question] = {}
+        self._forget_at_ms = float("-inf")
         self._avoid_until_ms: dict[model.HostId | None, float] = {}
 
     def note(self, team: model.TeamId, now_ms: float) -> None:
@@ -161,7 +165,9 @@
             if until_ms > now_ms
         }
         notices = []
-        for team, known in list(self._wallets.items()):
+        for known in self._wallets.values():
+            if not known.holdings:
+                continue
             idle = [
                 held
                 for held in known.holdings
@@ -175,8 +181,13 @@
                 if notice:
                     notices.append((source, notice))
             known.prune(now_ms)
-            if known.is_unused(now_ms):
-                del self._wallets[team]
+        if now_ms >= self._forget_at_ms:
+            self._forget_at_ms = now_ms + _FORGET_MS
+            self._wallets = {
+                team: known
+                for team, known in self._wallets.items()
+                if not known.is_unused(now_ms)
+            }
         return notices
 
     def _wallet(self, team: model.TeamId) -> wallet.Wallet:
