--- a/bench/capacity/plan.py
+++ b/bench/capacity/plan.py
@@ -12,6 +12,7 @@
 from bench.capacity import loans
 from bench.capacity import orders
 from bench.capacity import platformreads
+from bench.capacity import probes
 from bench.capacity import process
 from bench.capacity import reports
 from bench.capacity import row
@@ -67,6 +68,7 @@
     rows += reported.rows
     log("addresses")
     rows += addresses.measure(run)
+    rows += probes.measure(run)
     rows += platformreads.measure(shards)
     return Plan(
         run,
--- a/bench/capacity/table.py
+++ b/bench/capacity/table.py
@@ -33,8 +33,14 @@
     """Return the sums; every host has its share of every role."""
     shared = [each for each in found.rows if each.role is not row.Role.READER]
     other = [each for each in shared if each not in found.reports.rows]
+    libraries = row.Row(row.Role.EVERY, "", "", state_mb=found.library_mb)
     return [
         row.total(row.Role.EVERY, "**sum of a host**", shared),
+        row.total(
+            row.Role.EVERY,
+            "**sum with interpreter and libraries**",
+            [*shared, libraries],
+        ),
         row.total(row.Role.READER, "**sum of a reader**", found.rows),
         row.total(
             row.Role.EVERY,
