--- a/bench/capacity/table.py
+++ b/bench/capacity/table.py
@@ -33,8 +33,14 @@
     """Return the sums; every host has its share of every role."""
     shared = [each for each in found.rows if each.role is not row.Role.READER]
     other = [each for each in shared if each not in found.reports.rows]
+    libraries = row.Row(row.Role.EVERY, "", "", state_mb=found.library_mb)
     return [
         row.total(row.Role.EVERY, "**sum of a host**", shared),
+        row.total(
+            row.Role.EVERY,
+            "**sum with interpreter and libraries**",
+            [*shared, libraries],
+        ),
         row.total(row.Role.READER, "**sum of a reader**", found.rows),
         row.total(
             row.Role.EVERY,
@@ -100,8 +106,8 @@
         yield (
             f"* Loss of a {name} of {loss.hosts} hosts in its region: "
             f"{loss.owners} of {size.PARTITIONS} partitions lose the owner, "
-            f"{loss.majorities} the majority of voters, {loss.histories} the "
-            "5 voters that a complete history of orders needs."
+            f"{loss.majorities} the majority of voters, {loss.histories} "
+            "the owner and the complete history of orders."
         )
     for hosts, loan in found.loan_bytes:
         yield f"* Loans, callers on {hosts} hosts: {loan:.1f} bytes a request."
