Add a first fault matrix over the real parts of six hosts

Change: bench.matrix runs six hosts under trio's paused clock with fakes of the network, the platform and the targets. FleetFoundation takes peers and a platform, Assembly takes links and a probe in place of sockets.

--- /dev/null
+++ b/bench/matrix/__main__.py
@@ -0,0 +1,80 @@
+"""Runs the fault matrix.
+
+Example::
+
+    python -m bench.matrix --quick
+    python -m bench.matrix --cell host-paused/dispatch --seed 3
+    python -m bench.matrix --plant all
+"""
+
+import argparse
+import collections.abc
+import concurrent.futures
+import multiprocessing
+import sys
+
+from bench.matrix import cell
+from bench.matrix import rows
+
+# The machine is shared; each worker takes a processor of its own.
+_WORKERS = 5
+
+
+def main() -> int:
+    """Run what the arguments ask for; 1 is returned for violations."""
+    parsed = _parser().parse_args()
+    if parsed.cell:
+        row, _, column = parsed.cell.partition("/")
+        chosen = [(row, column, parsed.seed)]
+    else:
+        chosen = rows.tasks(parsed.seed, is_quick=parsed.quick)
+    return _report(_run_all(chosen))
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="bench.matrix", description="Runs the fault matrix."
+    )
+    parser.add_argument("--quick", action="store_true", help="fewer cells")
+    parser.add_argument("--seed", type=int, default=1, help="seed of cells")
+    parser.add_argument("--cell", default="", help="one cell, ROW/COLUMN")
+    return parser
+
+
+def _run_all(
+    chosen: collections.abc.Sequence[cell.Task],
+) -> collections.abc.Iterator[cell.Result]:
+    if len(chosen) == 1:
+        yield cell.run_task(chosen[0])
+        return
+    context = multiprocessing.get_context("spawn")
+    with concurrent.futures.ProcessPoolExecutor(
+        _WORKERS, mp_context=context
+    ) as pool:
+        yield from pool.map(cell.run_task, chosen)
+
+
+def _report(results: collections.abc.Iterable[cell.Result]) -> int:
+    """Print each row once it is complete, and then what was broken."""
+    broken: list[cell.Result] = []
+    cells = violations = 0
+    row: list[cell.Result] = []
+    for result in results:
+        if row and row[0].row != result.row:
+            print(rows.line(row), flush=True)
+            row = []
+        row.append(result)
+        cells += 1
+        violations += len(result.violations)
+        if result.violations or not result.is_reached:
+            broken.append(result)
+    if row:
+        print(rows.line(row), flush=True)
+    for result in broken:
+        print(rows.details(result))
+    print(f"{cells} cells, {violations} violations")
+    return 1 if violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/pomeloward/gateway/assembly.py
+++ b/src/pomeloward/gateway/assembly.py
@@ -11,6 +11,7 @@
 from pomeloward import entry
 from pomeloward import model
 from pomeloward import observe
+from pomeloward import service
 from pomeloward import settings
 from pomeloward.gateway import condition
 from pomeloward.gateway import foundation as foundations
@@ -32,7 +33,10 @@
         foundation: foundations.Foundation,
         incarnation: model.Incarnation,
         rng: random.Random,
+        links: dispatch.Links | None = None,
+        target_probe: service.Probe | None = None,
     ) -> None:
+        """Build the parts; ``links`` and ``target_probe`` replace sockets."""
         self._settings = host_settings
         self._foundation = foundation
         self._rng = rng
@@ -44,14 +48,16 @@
         self.shared = shared.Shared(
             host_settings,
             foundation,
-            probe.Probe(self._targets, host_settings.address),
+            target_probe or probe.Probe(self._targets, host_settings.address),
             incarnation,
             rng,
         )
         limits = host_settings.limits
-        self._links = dispatch.Links(
-            limits.target_idle_ms, host_settings.address
-        )
+        if links is None:
+            links = dispatch.Links(
+                limits.target_idle_ms, host_settings.address
+            )
+        self._links = links
         self._dispatcher = dispatch.Dispatcher(
             self.shared.admission,
             self.shared.slots,
--- a/src/pomeloward/gateway/fleet.py
+++ b/src/pomeloward/gateway/fleet.py
@@ -32,22 +32,33 @@
         host_settings: settings.Settings,
         incarnation: model.Incarnation,
         rng: random.Random,
+        peers: peer.Peers | None = None,
+        source: platform.Platform | None = None,
     ) -> None:
+        """Build the parts; ``peers`` and ``source`` replace the sockets.
+
+        Without them, the host talks to its peers over websockets and to the
+        platform over HTTP.
+        """
         now_ms = anyio.current_time() * 1_000
         host = host_settings.host
+        self._source = source
         self._settings = host_settings
         self._host = host
         self._region = model.RegionId(host_settings.region)
         identity = peer.Identity(host, incarnation)
-        self._websocket_peers = peer.WebsocketPeers(
-            identity,
-            host_settings.fleet_secret.encode("utf-8"),
-            peerdirectory.PeerDirectory(
-                lambda: self.view, host_settings.seeds
-            ),
-            rng=rng,
-        )
-        self.peers: peer.Peers = self._websocket_peers
+        self._websocket_peers: peer.WebsocketPeers | None = None
+        if peers is None:
+            self._websocket_peers = peer.WebsocketPeers(
+                identity,
+                host_settings.fleet_secret.encode("utf-8"),
+                peerdirectory.PeerDirectory(
+                    lambda: self.view, host_settings.seeds
+                ),
+                rng=rng,
+            )
+            peers = self._websocket_peers
+        self.peers: peer.Peers = peers
         spreader = catalog.Spreader(
             host, [model.HostId(seed.id) for seed in host_settings.seeds], rng
         )
@@ -88,19 +99,28 @@
         """Run until cancelled; ``started`` is called when ready to serve."""
         for user in users:
             self._leases.add_user(user)
-        async with (
-            httpx.AsyncClient(trust_env=False) as client,
-            anyio.create_task_group() as tasks,
-        ):
-            source = platform.HttpPlatform(client, self._settings.platform_url)
-            reader = platform.Reader(
-                source, self._choice, self._budget, self._catalog, self.peers
-            )
-            await tasks.start(
-                self._websocket_peers.run,
-                self._settings.address,
-                self._settings.peer_port,
-            )
+        if self._source is not None:
+            await self._run(self._source, started)
+            return
+        async with httpx.AsyncClient(trust_env=False) as client:
+            url = self._settings.platform_url
+            await self._run(platform.HttpPlatform(client, url), started)
+
+    async def _run(
+        self,
+        source: platform.Platform,
+        started: collections.abc.Callable[[], None],
+    ) -> None:
+        reader = platform.Reader(
+            source, self._choice, self._budget, self._catalog, self.peers
+        )
+        async with anyio.create_task_group() as tasks:
+            if self._websocket_peers is not None:
+                await tasks.start(
+                    self._websocket_peers.run,
+                    self._settings.address,
+                    self._settings.peer_port,
+                )
             tasks.start_soon(self._catalog.run)
             tasks.start_soon(reader.run)
             tasks.start_soon(self._heartbeats.run)
--- a/src/pomeloward/gateway/shared.py
+++ b/src/pomeloward/gateway/shared.py
@@ -16,7 +16,6 @@
 from pomeloward.gateway import fleetorders
 from pomeloward.gateway import foundation as foundations
 from pomeloward.gateway import localorders
-from pomeloward.gateway import probe as probes
 
 
 class Shared:
@@ -26,7 +25,7 @@
         self,
         host_settings: settings.Settings,
         foundation: foundations.Foundation,
-        probe: probes.Probe,
+        probe: service.Probe,
         incarnation: model.Incarnation,
         rng: random.Random,
     ) -> None:
--- a/standins/warmth.py
+++ b/standins/warmth.py
@@ -21,6 +21,13 @@
         self.bears = 1
         self._stepped_at_ms = now_ms
 
+    def is_step_due(self, now_ms: float) -> bool:
+        """Tell whether the next request doubles what the target bears."""
+        return (
+            self.bears < self.slots
+            and now_ms - self._stepped_at_ms >= self.step_ms
+        )
+
     def serve(self, running: int, now_ms: float) -> bool:
         """Note one request that starts; return whether it is borne."""
         if self.bears < self.slots:
@@ -28,7 +35,7 @@
                 self.overload_count += 1
                 self.chill(now_ms)
                 return False
-            if now_ms - self._stepped_at_ms >= self.step_ms:
+            if self.is_step_due(now_ms):
                 self.bears = min(self.slots, self.bears * 2)
                 self._stepped_at_ms = now_ms
         return True
