--- a/bench/matrix/__main__.py
+++ b/bench/matrix/__main__.py
@@ -14,6 +14,7 @@
 import sys
 
 from bench.matrix import cell
+from bench.matrix import plants
 from bench.matrix import rows
 
 # The machine is shared; each worker takes a processor of its own.
@@ -23,6 +24,8 @@
 def main() -> int:
     """Run what the arguments ask for; 1 is returned for violations."""
     parsed = _parser().parse_args()
+    if parsed.plant:
+        return _plant(parsed.plant, parsed.seed)
     if parsed.cell:
         row, _, column = parsed.cell.partition("/")
         chosen = [(row, column, parsed.seed)]
@@ -38,19 +41,60 @@
     parser.add_argument("--quick", action="store_true", help="fewer cells")
     parser.add_argument("--seed", type=int, default=1, help="seed of cells")
     parser.add_argument("--cell", default="", help="one cell, ROW/COLUMN")
+    parser.add_argument(
+        "--plant",
+        default="",
+        choices=("", "all", *plants.PLANTS),
+        metavar="NAME",
+        help="run with a planted fault; all runs each in turn",
+    )
     return parser
 
 
+def _plant(name: str, seed: int) -> int:
+    """Run planted faults; 1 says that the check found the fault.
+
+    With ``all``, 1 says that some check did not find the fault of its
+    promise.
+    """
+    names = list(plants.PLANTS) if name == "all" else [name]
+    found = 0
+    with _pool() as pool:
+        for each, result in zip(
+            names,
+            pool.map(cell.run_planted, names, [seed] * len(names)),
+            strict=True,
+        ):
+            promise = plants.PLANTS[each].promise
+            red = sorted({broken.promise for broken in result.violations})
+            is_found = promise in red
+            found += is_found
+            print(
+                f"{each:<22} {promise:<4}"
+                f" {'found' if is_found else 'NOT FOUND':<10}"
+                f" red: {', '.join(red) or 'none'}",
+                flush=True,
+            )
+            if name != "all":
+                print(rows.details(result))
+    print(f"{len(names)} plants, {found} found")
+    return int(found != len(names)) if name == "all" else int(found > 0)
+
+
+def _pool() -> concurrent.futures.ProcessPoolExecutor:
+    context = multiprocessing.get_context("spawn")
+    return concurrent.futures.ProcessPoolExecutor(
+        _WORKERS, mp_context=context
+    )
+
+
 def _run_all(
     chosen: collections.abc.Sequence[cell.Task],
 ) -> collections.abc.Iterator[cell.Result]:
     if len(chosen) == 1:
         yield cell.run_task(chosen[0])
         return
-    context = multiprocessing.get_context("spawn")
-    with concurrent.futures.ProcessPoolExecutor(
-        _WORKERS, mp_context=context
-    ) as pool:
+    with _pool() as pool:
         yield from pool.map(cell.run_task, chosen)
 
 
--- a/bench/matrix/cell.py
+++ b/bench/matrix/cell.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import random
+import signal
+import traceback
 
 import anyio
 import eliot
@@ -13,6 +15,7 @@
 from bench.matrix import faults
 from bench.matrix import pauses
 from bench.matrix import plan
+from bench.matrix import plants
 from bench.matrix import steps
 from bench.matrix import traffic as traffics
 from bench.matrix import violation
@@ -28,6 +31,8 @@
 _QUIET_S = 6.0
 _REACH_S = 6.0
 _WAVE = 80
+# Seconds of the real clock; a cell takes about 4 s.
+_STUCK_S = 30
 _PLANNED_STOP = plan.HOSTS[5]
 _RESTARTED = plan.HOSTS[4]
 _STOP_STEPS = frozenset(
@@ -149,7 +154,34 @@
 def run_task(task: Task) -> Result:
     """Run the cell of a row, a column and a seed."""
     row, column, seed = task
-    return Cell(row, steps.Step(column), seed).run()
+    signal.signal(signal.SIGALRM, _stop_stuck)
+    signal.alarm(_STUCK_S)
+    try:
+        return Cell(row, steps.Step(column), seed).run()
+    except BaseException:  # noqa: BLE001
+        lines = traceback.format_exc().splitlines()
+        found = violation.Violation("ended", "\n    ".join(lines[-14:]))
+        return Result(row, column, seed, True, (found,), 0, 0)
+    finally:
+        signal.alarm(0)
+
+
+def run_planted(name: str, seed: int) -> Result:
+    """Run the cell of a planted fault, with the fault in place."""
+    planted = plants.PLANTS[name]
+    undo = planted.plant()
+    try:
+        return run_task((planted.row, planted.column, seed))
+    finally:
+        undo()
+
+
+class _StuckError(BaseException):
+    """A cell whose paused clock does not go on."""
+
+
+def _stop_stuck(number: int, frame: object) -> None:
+    raise _StuckError("the cell did not end")
 
 
 async def _look_for_keys(world: worlds.World) -> None:
--- a/bench/matrix/world.py
+++ b/bench/matrix/world.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import random
+import typing
 
 import anyio
 import anyio.abc
@@ -30,6 +31,9 @@
 class World:
     """Hosts, network, platform and targets of one cell."""
 
+    # The world of the cell that runs now, for planted faults.
+    running: typing.ClassVar["World"]
+
     def __init__(self, tasks: anyio.abc.TaskGroup, seed: int) -> None:
         self.rng = random.Random(seed)  # noqa: S311
         self.seen = seen.Seen()
@@ -61,6 +65,7 @@
         self._incarnation = 0
         self._bids: set[tuple[model.HostId, int, int]] = set()
         self._restarting: set[model.HostId] = set()
+        World.running = self
         wrappers.Watched.steps = self.steps
         wrappers.Watched.record = self.seen
 
