--- a/bench/matrix/__main__.py
+++ b/bench/matrix/__main__.py
@@ -11,6 +11,7 @@
 import collections.abc
 import concurrent.futures
 import multiprocessing
+import os
 import sys
 
 from bench.matrix import cell
@@ -82,6 +83,8 @@
 
 
 def _pool() -> concurrent.futures.ProcessPoolExecutor:
+    # The order of sets must not differ between runs of one seed.
+    os.environ["PYTHONHASHSEED"] = "0"
     context = multiprocessing.get_context("spawn")
     return concurrent.futures.ProcessPoolExecutor(
         _WORKERS, mp_context=context
@@ -91,9 +94,6 @@
 def _run_all(
     chosen: collections.abc.Sequence[cell.Task],
 ) -> collections.abc.Iterator[cell.Result]:
-    if len(chosen) == 1:
-        yield cell.run_task(chosen[0])
-        return
     with _pool() as pool:
         yield from pool.map(cell.run_task, chosen)
 
--- a/bench/matrix/cell.py
+++ b/bench/matrix/cell.py
@@ -26,13 +26,14 @@
 _WARM_UP_S = 8.0
 _ACTION_S = 0.3
 _WITHDRAWAL_S = 0.5
-_FAULT_S = 5.0
-_MOVE_S = 3.0
+_FAULT_S = 7.0
+_MOVE_S = 5.0
 _QUIET_S = 6.0
 _REACH_S = 6.0
 _WAVE = 80
+_FIRST_WAVE = 40
 # Seconds of the real clock; a cell takes about 4 s.
-_STUCK_S = 30
+_STUCK_S = 20
 _PLANNED_STOP = plan.HOSTS[5]
 _RESTARTED = plan.HOSTS[4]
 _STOP_STEPS = frozenset(
@@ -110,21 +111,24 @@
             begun.set()
 
         world.steps.arm(self._step, begin)
-        world.tasks.start_soon(self._act, world)
+        world.tasks.start_soon(self._act, world, traffic)
         with anyio.move_on_after(_REACH_S):
             await begun.wait()
         await anyio.sleep(_MOVE_S)
+        world.wave_at_s = anyio.current_time()
         world.tasks.start_soon(traffic.wave, _WAVE)
         await anyio.sleep(checkload.WAVE_S)
         world.move_out()
         await anyio.sleep(_QUIET_S)
         traffic.is_stopped = True
         if self._step not in _STOP_STEPS:
-            world.stop_host(_PLANNED_STOP)
+            await traffic.stop(_PLANNED_STOP)
         await anyio.sleep(_QUIET_S)
         await _look_for_keys(world)
 
-    async def _act(self, world: worlds.World) -> None:
+    async def _act(
+        self, world: worlds.World, traffic: traffics.Traffic
+    ) -> None:
         """Do the control work that the column is about."""
         await anyio.sleep(_ACTION_S)
         if self._step is steps.Step.EJECTION:
@@ -134,9 +138,11 @@
             world.hosts[_RESTARTED].crash()
             world.start_host(_RESTARTED)
         if self._step in _STOP_STEPS:
-            world.stop_host(_PLANNED_STOP)
+            await traffic.stop(_PLANNED_STOP)
         await anyio.sleep(_WITHDRAWAL_S)
         world.withdraw_key()
+        # The added target meets more demand than it bears.
+        await traffic.wave(_FIRST_WAVE)
 
     def _result(self, world: worlds.World) -> Result:
         record = world.seen
@@ -169,6 +175,7 @@
 def run_planted(name: str, seed: int) -> Result:
     """Run the cell of a planted fault, with the fault in place."""
     planted = plants.PLANTS[name]
+    wrappers.install()
     undo = planted.plant()
     try:
         return run_task((planted.row, planted.column, seed))
--- a/bench/matrix/faults.py
+++ b/bench/matrix/faults.py
@@ -70,7 +70,7 @@
 
 
 def _late(world: worlds.World, victim: hosts.Host) -> None:
-    for name in plan.TARGETS[:2]:
+    for name in _GRAY:
         world.targets[name].late_s = _LATE_S
 
 
--- a/bench/matrix/plan.py
+++ b/bench/matrix/plan.py
@@ -20,7 +20,7 @@
 PARTITIONS = 6
 # Rate per second and burst of each team.
 RATES = {
-    "big": (40.0, 120.0),
+    "big": (40.0, 200.0),
     "flood": (5.0, 5.0),
     "leaver": (20.0, 20.0),
     "marker": (20.0, 20.0),
--- a/bench/matrix/plants.py
+++ b/bench/matrix/plants.py
@@ -18,16 +18,14 @@
 from pomeloward.entry import exchange
 from pomeloward.entry import grant
 from pomeloward.entry import handler
+from pomeloward.gateway import cachedview
 from pomeloward.gateway import fleet
 from pomeloward.gateway import localorders
 from pomeloward.queue import fairorder
 from pomeloward.service import floor
 from pomeloward.service import targetrecord
-from pomeloward.service import targetset
-from pomeloward.service import targetstate
 
 Undo = collections.abc.Callable[[], None]
-_STATE = targetstate.TargetState
 
 
 class Plant(typing.NamedTuple):
@@ -93,21 +91,20 @@
 
 
 def _cold_gets_all() -> Undo:
-    def cap(self: typing.Any, now_ms: float) -> int:
+    def cap(self: typing.Any, *args: float) -> int:
         return int(self.slots) if self.is_serving else 0
 
     return _replace(targetrecord.TargetRecord, "cap", cap)
 
 
 def _zone_not_out() -> Undo:
-    exclude = targetset.TargetSet._exclude
+    zone = cachedview.CachedView.zone
 
-    def ignoring(
-        self: typing.Any, record: typing.Any, zone: object, now_ms: float
-    ) -> None:
-        exclude(self, record, None, now_ms)
+    def ignoring(self: typing.Any, name: model.ZoneId) -> typing.Any:
+        found = zone(self, name)
+        return found and catalog.Zone(found.id, found.region)
 
-    return _replace(targetset.TargetSet, "_exclude", ignoring)
+    return _replace(cachedview.CachedView, "zone", ignoring)
 
 
 def _cut_taken_for_whole() -> Undo:
@@ -148,16 +145,12 @@
 
 
 def _leaving_ignored() -> Undo:
-    exclude = targetset.TargetSet._exclude
+    targets = cachedview.CachedView.targets
 
-    def ignoring(
-        self: typing.Any, record: typing.Any, zone: object, now_ms: float
-    ) -> None:
-        if record.target.is_leaving:
-            record.target = plan.target(record.id)
-        exclude(self, record, zone, now_ms)  # type: ignore[arg-type]
+    def ignoring(self: typing.Any, service: model.ServiceId) -> typing.Any:
+        return [plan.target(found.id) for found in targets(self, service)]
 
-    return _replace(targetset.TargetSet, "_exclude", ignoring)
+    return _replace(cachedview.CachedView, "targets", ignoring)
 
 
 def _stop_at_once() -> Undo:
@@ -218,7 +211,7 @@
         "P9", "late-answers", "dispatch", _always_not_run
     ),
     "claims-per-host": Plant(
-        "P10", "late-answers", "claim", _claims_per_host
+        "P10", "target-errors", "dispatch", _claims_per_host
     ),
     "leaving-ignored": Plant("P11", "none", "queue", _leaving_ignored),
     "stop-at-once": Plant("P12", "none", "drain", _stop_at_once),
--- a/bench/matrix/target.py
+++ b/bench/matrix/target.py
@@ -11,7 +11,7 @@
 
 _WORK_S = 0.04
 _SLOW_WORK_S = 0.5
-_DOWNLOAD_S = 2.0
+_DOWNLOAD_S = 4.0
 _CHUNKS = 8
 _RAMP_MS = 1_000.0
 _OVERLOAD_FACTOR = 10.0
--- a/bench/matrix/traffic.py
+++ b/bench/matrix/traffic.py
@@ -17,6 +17,7 @@
 _LOOKUP_S = 1.0
 _MARKER_LOOKUP_S = 0.5
 _ORDER_TRIES = 4
+_STOP_AFTER_S = 0.2
 # One entry of each list is one caller: kind, team, key and requests/s.
 _STREAMS = (
     ("items", "big", plan.KEYS["big"], 12.0, True),
@@ -24,7 +25,7 @@
     ("items", "flood", plan.KEYS["flood"], 12.0, True),
     ("items", "leaver", plan.KEYS["leaver"], 4.0, True),
     ("items/download=1", "leaver", plan.KEYS["leaver"], 1.0, True),
-    ("items/download=1", "big", plan.KEYS["big"], 0.7, True),
+    ("items/download=1", "big", plan.KEYS["big"], 1.5, True),
     ("open", "", "", 2.0, True),
     ("items", "", "", 0.5, False),
     ("items", "", "a-key-that-nobody-has", 0.5, False),
@@ -54,7 +55,6 @@
 
     async def wave(self, count: int) -> None:
         """Send slow reads at once to two hosts, so that queues form."""
-        self._world.wave_at_s = anyio.current_time()
         chosen = self._rng.sample(self._world.live(), 2)
         async with anyio.create_task_group() as tasks:
             for number in range(count):
@@ -62,6 +62,15 @@
                 tasks.start_soon(self._one, host, "items/slow=1", "big")
                 await anyio.sleep(0.002)
 
+    async def stop(self, name: model.HostId) -> None:
+        """Stop a host as planned, while it serves a long download."""
+        host = self._world.hosts[name]
+        self._world.tasks.start_soon(
+            self._one, host, "items/download=1", "big"
+        )
+        await anyio.sleep(_STOP_AFTER_S)
+        self._world.stop_host(name)
+
     async def _one(self, host: hosts.Host, kind: str, team: str) -> None:
         caller = self._world.caller
         call = caller.call(host, kind, team, plan.KEYS[team])
--- a/bench/matrix/world.py
+++ b/bench/matrix/world.py
@@ -66,6 +66,7 @@
         self._bids: set[tuple[model.HostId, int, int]] = set()
         self._restarting: set[model.HostId] = set()
         World.running = self
+        wrappers.Watched.rng = random.Random(seed + 4)  # noqa: S311
         wrappers.Watched.steps = self.steps
         wrappers.Watched.record = self.seen
 
--- a/bench/matrix/wrappers.py
+++ b/bench/matrix/wrappers.py
@@ -2,6 +2,8 @@
 
 import collections.abc
 import functools
+import random
+import secrets
 import typing
 
 import anyio
@@ -24,6 +26,7 @@
     """The steps and the record of the cell that runs now."""
 
     steps = steps.Steps()
+    rng = random.Random(0)  # noqa: S311
     record = seen.Seen()
 
 
@@ -37,6 +40,10 @@
     _wrap(queue.Admission, "acquire", _queueing)
     _wrap(targetrecord.TargetRecord, "eject", _noting(steps.Step.EJECTION))
     _wrap(targetrecord.TargetRecord, "ramp", _noting(steps.Step.RAMP))
+    # Request ids differ from run to run otherwise.
+    secrets.token_hex = lambda count=None: Watched.rng.randbytes(
+        count or 8
+    ).hex()
     # A freeze would keep the objects of every finished cell.
     gateway._quiet_collector = lambda: None
 
