--- a/bench/detection.py
+++ b/bench/detection.py
@@ -9,27 +9,23 @@
 import dataclasses
 import functools
 import json
-import pathlib
 import statistics
 
-import matplotlib
-
+from bench import detectionplot
 from bench import fleetmodel
+from bench import fleetparts
 from pomeloward import model
 from pomeloward.service import tuning as tuning_
 
-matplotlib.use("Agg")
-from matplotlib import pyplot  # noqa: E402
-
-_DEPLOYMENTS = {"kunene": fleetmodel.KUNENE, "bertoldi": fleetmodel.BERTOLDI}
+_DEPLOYMENTS = {"kunene": fleetparts.KUNENE, "bertoldi": fleetparts.BERTOLDI}
 _WARM_UP_MS = 20_000.0
 # A target without new work for the rest of this time counts as detected.
 _EPISODE_MS = 9_000.0
 _PAUSE_MS = 7_000.0
 _KINDS = ("slow", "errors", "cut")
-_Z_SCORES = (3.5, 4.5, 5.0, 5.5)
+Z_SCORES = (3.5, 4.5, 5.0, 5.5)
 # Minimum ratio, number of samples and evaluations that must agree.
-_RULES = ((3.0, 3, 2), (5.0, 3, 2), (5.0, 3, 3), (5.0, 4, 2))
+RULES = ((3.0, 3, 2), (5.0, 3, 2), (5.0, 3, 3), (5.0, 4, 2))
 # Rate, factor of the slow route, and factor of all targets' latency.
 _STRAINS = (
     (2.0, 1.0, 1.0),
@@ -51,8 +47,8 @@
             min_count=count,
             confirmations=confirmations,
         )
-        for ratio, count, confirmations in _RULES
-        for z in _Z_SCORES
+        for ratio, count, confirmations in RULES
+        for z in Z_SCORES
     ]
 
 
@@ -197,32 +193,6 @@
     return merged
 
 
-def _plot(name: str, measured: Measured, hours: float) -> None:
-    figure, axes = pyplot.subplots(figsize=(6, 4))
-    for row, (ratio, count, agreeing) in enumerate(_RULES):
-        base = row * len(_Z_SCORES)
-        numbers = range(base, base + len(_Z_SCORES))
-        rates = [sum(measured[f"false {n}"]) / hours for n in numbers]
-        times = [
-            statistics.median(measured[f"time {n}"]) / 1_000 for n in numbers
-        ]
-        axes.plot(
-            times,
-            rates,
-            "o-",
-            label=f"ratio {ratio:g}, {count} samples, {agreeing} times",
-        )
-        for z_score, time_s, rate in zip(_Z_SCORES, times, rates, strict=True):
-            axes.annotate(f"{z_score:g}", (time_s, rate))
-    axes.set_yscale("symlog", linthresh=0.1)
-    axes.set_xlabel("median detection time, 10 times slower, s")
-    axes.set_ylabel("false ejections per hour of strain")
-    axes.set_title(f"Thresholds of the z-score, {name}")
-    axes.legend()
-    figure.tight_layout()
-    figure.savefig(pathlib.Path("docs") / f"detection-{name}.png", dpi=100)
-
-
 def main() -> None:
     """Run one part over all seeds and print a line for each figure."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -247,7 +217,9 @@
         runs = [pool.submit(parts[options.part], seed=seed) for seed in seeds]
         measured = _merge([run.result() for run in runs])
     if options.part == "curve":
-        _plot(name, measured, options.hours * len(seeds))
+        detectionplot.save(
+            name, measured, options.hours * len(seeds), RULES, Z_SCORES
+        )
     for key, values in measured.items():
         figures = {
             "median": statistics.median(values),
--- a/bench/fleetmodel.py
+++ b/bench/fleetmodel.py
@@ -10,13 +10,12 @@
 import heapq
 import random
 
+from bench import fleetparts
 from bench import modelview
 from pomeloward import model
-from pomeloward.queue import fairqueue
 from pomeloward.queue import ticket as ticket_
 from pomeloward.service import controller as controller_
 from pomeloward.service import detector
-from pomeloward.service import hostslots
 from pomeloward.service import messages
 from pomeloward.service import outcome as outcome_
 from pomeloward.service import targetrecord
@@ -29,50 +28,12 @@
 _ALONE_AVOID_MS = 10_000.0
 
 
-@dataclasses.dataclass(frozen=True)
-class Deployment:
-    """Size and load of one service."""
-
-    name: str
-    targets: int
-    slots: int
-    hosts: int
-    trip_ms: float
-    load_ratio: float = 0.6
-    service_ms: float = 150.0
-    teams: tuple[float, ...] = (0.3, 0.2, 0.1, 0.1, 0.1, 0.1, 0.05, 0.05)
-
-    @property
-    def rate_per_ms(self) -> float:
-        """Requests per ms at the usual load."""
-        return self.targets * self.slots * self.load_ratio / self.service_ms
-
-
-KUNENE = Deployment("kunene", 20, 3, 40, 0.5)
-BERTOLDI = Deployment("bertoldi", 18, 2, 40, 1.0)
-
-
-class Host:
-    """One host with its slots and queue; ``alone`` has own detection."""
-
-    def __init__(self, index: int, seed: int, tuning: tuning_.Tuning) -> None:
-        self.name = model.HostId(f"h{index:02}")
-        self.queue = fairqueue.FairQueue()
-        self.slots = hostslots.HostSlots(
-            modelview.SERVICE, 1, tuning, random.Random(seed * 1_000 + index)
-        )
-        self.is_asking = False
-        self.is_due = False
-        self.alone: list[targetrecord.TargetRecord] = []
-        self.avoid_until_ms: dict[model.TargetId, float] = {}
-
-
 class Fleet:
     """The event loop; faults are set from outside between events."""
 
     def __init__(
         self,
-        deployment: Deployment,
+        deployment: fleetparts.Deployment,
         seed: int,
         tuning: tuning_.Tuning,
         *,
@@ -118,7 +79,9 @@
         )
         self.controller.start(self.view, None, 0.0)
         slots = {target.id: deployment.slots for target in self.view.servers}
-        self.hosts = [Host(n, seed, tuning) for n in range(deployment.hosts)]
+        self.hosts = [
+            fleetparts.Host(n, seed, tuning) for n in range(deployment.hosts)
+        ]
         for host in self.hosts:
             host.slots.configure(slots, ())
             self._start_alone(host)
@@ -149,7 +112,7 @@
             action()
         self.now_ms = until_ms
 
-    def _start_alone(self, host: Host) -> None:
+    def _start_alone(self, host: fleetparts.Host) -> None:
         for target in self.view.servers if self._is_alone else ():
             record = targetrecord.TargetRecord(
                 target, self.deployment.slots, self._tuning
@@ -181,7 +144,7 @@
         host.queue.push(ticket)
         self._serve(host)
 
-    def _serve(self, host: Host) -> None:
+    def _serve(self, host: fleetparts.Host) -> None:
         while len(host.queue):
             ticket = next(host.queue.in_order())
             if ticket.deadline_ms <= self.now_ms:
@@ -208,7 +171,7 @@
 
     def _start(
         self,
-        host: Host,
+        host: fleetparts.Host,
         ticket: ticket_.Ticket,
         run: int,
         target: model.TargetId,
@@ -240,18 +203,20 @@
 
         self.at(latency_ms, finish)
 
-    def _give_back(self, host: Host) -> None:
+    def _give_back(self, host: fleetparts.Host) -> None:
         if host.slots.has_excess(self.now_ms):
             self._report(host)
 
-    def _periodic(self, host: Host) -> collections.abc.Callable[[], None]:
+    def _periodic(
+        self, host: fleetparts.Host
+    ) -> collections.abc.Callable[[], None]:
         def report() -> None:
             self._report(host)
             self.at(self._tuning.report_ms, report)
 
         return report
 
-    def _report(self, host: Host) -> None:
+    def _report(self, host: fleetparts.Host) -> None:
         if host.is_asking:
             host.is_due = True
             return
@@ -262,7 +227,7 @@
             self._judge_alone(host, report)
         self.at(self.deployment.trip_ms, lambda: self._answer(host, report))
 
-    def _answer(self, host: Host, report: messages.Report) -> None:
+    def _answer(self, host: fleetparts.Host, report: messages.Report) -> None:
         answer = self.controller.report(host.name, report, self.now_ms)
         self._nudge()
 
@@ -275,7 +240,9 @@
 
         self.at(self.deployment.trip_ms, apply)
 
-    def _judge_alone(self, host: Host, report: messages.Report) -> None:
+    def _judge_alone(
+        self, host: fleetparts.Host, report: messages.Report
+    ) -> None:
         for record in host.alone:
             record.window.clear_running(host.name)
         for evidence in report.evidence:
--- a/src/pomeloward/service/hostslots.py
+++ b/src/pomeloward/service/hostslots.py
@@ -10,7 +10,6 @@
 from pomeloward.service import outcome as outcome_
 from pomeloward.service import runs
 from pomeloward.service import targetset
-from pomeloward.service import targetstate
 from pomeloward.service import tuning as tuning_
 
 
@@ -200,7 +199,9 @@
         return list(self._index)
 
     def _take_table(self, targets: tuple[model.TargetId, ...]) -> None:
-        self._states = _reorder(self._states, list(self._index), targets)
+        self._states = targetset.reorder_states(
+            self._states, list(self._index), targets
+        )
         self._index = {target: index for index, target in enumerate(targets)}
         self._digest = targetset.table_digest(targets)
 
@@ -242,14 +243,3 @@
             for target, count in sorted(slots.items())
             if count and target in self._index
         )
-
-
-def _reorder(
-    states: bytes,
-    old: list[model.TargetId],
-    new: tuple[model.TargetId, ...],
-) -> bytes:
-    """Carry states over to a new table; other targets are unknown."""
-    known = dict(zip(old, states, strict=False))
-    unknown = targetstate.TargetState.UNKNOWN.value
-    return bytes(known.get(target, unknown) for target in new)
--- a/src/pomeloward/service/targetset.py
+++ b/src/pomeloward/service/targetset.py
@@ -21,6 +21,17 @@
     return xxhash.xxh32_intdigest("\n".join(targets).encode())
 
 
+def reorder_states(
+    states: bytes,
+    old: list[model.TargetId],
+    new: tuple[model.TargetId, ...],
+) -> bytes:
+    """Carry states over to a new table; other targets are unknown."""
+    known = dict(zip(old, states, strict=False))
+    unknown = _STATE.UNKNOWN.value
+    return bytes(known.get(target, unknown) for target in new)
+
+
 class TargetSet:
     """All configured targets; ejects gray ones and never below the floor."""
 
