--- a/bench/detection.py
+++ b/bench/detection.py
@@ -201,11 +201,14 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--hours", type=float, default=0.2)
+    parser.add_argument("--episodes", type=int, default=12)
     parser.add_argument("--alone", action="store_true")
     options = parser.parse_args()
     name = options.deployment
     parts = {
-        "detect": functools.partial(detect, name, is_alone=options.alone),
+        "detect": functools.partial(
+            detect, name, is_alone=options.alone, count=options.episodes
+        ),
         "strain": functools.partial(
             strain, name, hours=options.hours, is_alone=options.alone
         ),
