--- a/src/pomeloward/gateway/assembly.py
+++ b/src/pomeloward/gateway/assembly.py
@@ -6,6 +6,7 @@
 import anyio
 import anyio.abc
 
+from pomeloward import address
 from pomeloward import catalog
 from pomeloward import dispatch
 from pomeloward import entry
@@ -15,7 +16,6 @@
 from pomeloward.gateway import condition
 from pomeloward.gateway import foundation as foundations
 from pomeloward.gateway import probe
-from pomeloward.gateway import readyaddresses
 from pomeloward.gateway import shared
 from pomeloward.gateway import targets
 
@@ -34,8 +34,8 @@
         rng: random.Random,
     ) -> None:
         self._settings = host_settings
+        self._incarnation = incarnation
         self._foundation = foundation
-        self._rng = rng
         self.open_work = entry.OpenWork()
         self.metrics = observe.Metrics()
         self.journal = observe.Journal()
@@ -65,10 +65,22 @@
         )
         logs = host_settings.logs
         log = observe.Log(logs.request_ratio, logs.refusals_per_s, rng)
-        self.recorder = entry.Recorder(self.metrics, self.journal, log)
+        self.burn = observe.BurnMeter()
+        self.recorder = entry.Recorder(
+            self.metrics, self.journal, log, self.burn, self._zone_of
+        )
         self.metrics.gauge(
             "pomeloward_open_requests", lambda: len(self.open_work)
         )
+        self._book = address.AddressBook(
+            host_settings.host,
+            model.RegionId(host_settings.region),
+            foundation.members,
+            foundation.owners,
+            rng,
+        )
+        self._book.configure(foundation.view)
+        self.shared.controllers.on_change = self._on_target
         foundation.on_view(self._on_view)
 
     def application(self) -> entry.Application:
@@ -76,11 +88,6 @@
         limits = self._settings.limits
         parts = self.shared
         gatekeeper = entry.Gatekeeper(self.condition, limits)
-        book = readyaddresses.ReadyAddresses(
-            lambda: self._foundation.view,
-            self._foundation.members,
-            self._rng,
-        )
         return entry.Application(
             self.condition,
             entry.Handler(
@@ -92,7 +99,7 @@
                 self._dispatcher,
                 self.open_work,
                 self.recorder,
-                book,
+                self._book,
                 limits,
             ),
             entry.WebsocketHandler(
@@ -105,7 +112,12 @@
                 limits,
             ),
             entry.Admin(
-                self.condition, book, parts.orders, self.metrics, self.journal
+                self.condition,
+                self._book,
+                parts.orders,
+                self.metrics,
+                self.journal,
+                self._burn_sample,
             ),
             self.recorder,
             limits,
@@ -128,7 +140,24 @@
             with anyio.CancelScope(shield=True):
                 await self._links.aclose()
 
+    def _burn_sample(self) -> observe.BurnSample:
+        return self.burn.sample(self._settings.host, self._incarnation)
+
+    def _on_target(
+        self, service: model.ServiceId, target: model.TargetId, reason: str
+    ) -> None:
+        self.recorder.decision(
+            "target_state", f"{service}: {reason}", target=target
+        )
+
+    def _zone_of(
+        self, service: model.ServiceId, target: model.TargetId
+    ) -> model.ZoneId | None:
+        found = self._targets.target(service, target)
+        return found.zone if found else None
+
     def _on_view(self, view: catalog.View) -> None:
+        self._book.configure(view)
         ended = self.open_work.end_withdrawn(view)
         if ended:
             self.recorder.decision(
--- a/src/pomeloward/service/tuning.py
+++ b/src/pomeloward/service/tuning.py
@@ -25,15 +25,15 @@
     idle_report_ms: float = 2_500.0
     # Longest time that a request holds its slot after its start.
     hold_ms: float = 10_000.0
-    # How long a host's memory of a warm target counts for a new controller.
-    # A target that stops being warm gets no trial before it has passed.
+    # How long a host's memory of a warm target counts for a new controller;
+    # no longer than the first backoff, so that it ends before any trial.
     hint_ms: float = 10_000.0
-    windows_ms: tuple[float, ...] = (1_000.0, 2_000.0, 4_000.0)
+    windows_ms: tuple[float, ...] = (1_000.0, 2_000.0, 3_000.0, 4_000.0)
     evaluate_ms: float = 250.0
     # Evaluations in a row that must agree before an ejection.
     confirmations: int = 2
-    z_score: float = 4.5
-    min_ratio: float = 3.0
+    z_score: float = 5.0
+    min_ratio: float = 5.0
     fall_ratio: float = 2.0
     min_count: int = 4
     min_peers: int = 4
