Choose targets with one bad sign last

Change: a target with one answer 4 times slower than usual, a request that already takes as long, or 30% errors in the last second is the last choice for 10 s, twice as long when it shows again. It still counts as capacity, so the floor is not touched, and ejection keeps its own evidence.

--- a/src/pomeloward/service/controller.py
+++ b/src/pomeloward/service/controller.py
@@ -143,16 +143,19 @@
             if not stopped.isdisjoint(self.ledger.held(host))
         ]
         return self._demand.nudges(
-            lambda: self._lending().free(), holders, now_ms
+            lambda: self._lending(now_ms).free(), holders, now_ms
         )
 
     def _weight(self, team: model.TeamId) -> float:
         entry = self._view.team(team) if self._view is not None else None
         return entry.weight if entry is not None else 1.0
 
-    def _lending(self) -> lending.Lending:
+    def _lending(self, now_ms: float) -> lending.Lending:
         return lending.Lending(
-            self.targets.records, self.ledger, self.targets.shares
+            self.targets.records,
+            self.ledger,
+            self.targets.shares,
+            self.targets.suspects(now_ms),
         )
 
     def _lend(
@@ -169,7 +172,7 @@
         goal, reserve = self._demand.goal(
             host, self.targets.capacity(), self._weight, now_ms
         )
-        grants = self._lending().choose(
+        grants = self._lending(now_ms).choose(
             held, self._demand.avoided(host), goal, self._rng
         )
         upper = {
--- a/src/pomeloward/service/lending.py
+++ b/src/pomeloward/service/lending.py
@@ -20,7 +20,9 @@
         records: Records,
         ledger: ledger_.Ledger,
         shares: Shares,
+        suspects: frozenset[model.TargetId] = frozenset(),
     ) -> None:
+        self._suspects = suspects
         self._records = records
         self._shares = shares
         self._caps: dict[model.TargetId, int] = {}
@@ -62,6 +64,7 @@
             over = max(0, self._used.get(target, 0) - cap)
             is_out = cap == 0 or target in avoided
             grants[target] = 0 if is_out else max(0, count - over)
+        self._drop_suspects(grants, avoided)
         total = sum(grants.values())
         while total > goal:
             target = max(grants, key=lambda target: grants[target])
@@ -71,6 +74,22 @@
             self._add(grants, avoided, goal - total, rng)
         return {target: count for target, count in grants.items() if count}
 
+    def _drop_suspects(
+        self,
+        grants: dict[model.TargetId, int],
+        avoided: frozenset[model.TargetId],
+    ) -> None:
+        """Take back slots of suspects that others can replace."""
+        replaceable = sum(
+            max(0, self._caps[record.id] - self._used[record.id])
+            for record in self._records
+            if record.id not in avoided and record.id not in self._suspects
+        )
+        for target in sorted(self._suspects & grants.keys()):
+            dropped = min(grants[target], replaceable)
+            grants[target] -= dropped
+            replaceable -= dropped
+
     def _add(
         self,
         grants: dict[model.TargetId, int],
@@ -96,10 +115,17 @@
             if self._used[best.id] >= self._caps[best.id]:
                 open_.remove(best)
 
-    def _load(self, record: targetrecord.TargetRecord) -> tuple[float, float]:
+    def _load(
+        self, record: targetrecord.TargetRecord
+    ) -> tuple[bool, float, float]:
         site_load = 0.0
         if self._shares:
             site = record.target.site
             share = self._shares.get(site, 0.0)
             site_load = (self._sites[site] + 1) / max(share, 1e-9)
-        return site_load, self._used[record.id] / self._caps[record.id]
+        is_suspect = record.id in self._suspects
+        return (
+            is_suspect,
+            site_load,
+            self._used[record.id] / self._caps[record.id],
+        )
--- a/src/pomeloward/service/targetrecord.py
+++ b/src/pomeloward/service/targetrecord.py
@@ -5,6 +5,7 @@
 from pomeloward import catalog
 from pomeloward import model
 from pomeloward.service import messages
+from pomeloward.service import suspicion
 from pomeloward.service import targetstate
 from pomeloward.service import tuning as tuning_
 from pomeloward.service import window
@@ -33,6 +34,7 @@
         self.ejections = 0
         self.until_ms = 0.0
         self.window = window.Window(tuning.evaluate_ms, max(tuning.windows_ms))
+        self.suspicion = suspicion.Suspicion(tuning)
         self._tuning = tuning
         self._entered_ms = 0.0
         self._interval_ms = 0.0
--- a/src/pomeloward/service/targetset.py
+++ b/src/pomeloward/service/targetset.py
@@ -39,6 +39,14 @@
         """Return the table of targets that indexes refer to."""
         return tuple(record.id for record in self.records)
 
+    def suspects(self, now_ms: float) -> frozenset[model.TargetId]:
+        """Return the targets that are the last choice now."""
+        return frozenset(
+            record.id
+            for record in self.records
+            if record.suspicion.is_active(now_ms)
+        )
+
     def capacity(self) -> int:
         """Return the slots that may be in use now."""
         return sum(record.cap() for record in self.records)
@@ -95,6 +103,11 @@
         reference = self._detector.reference(self.records, now_ms)
         for record in self.records:
             self._advance(record, reference, now_ms)
+            if record.state is _STATE.WARM:
+                sums = record.window.sums(
+                    self._tuning.suspect_interval_ms, now_ms
+                )
+                record.suspicion.update(sums, reference, now_ms)
         self._keep_floor(now_ms)
 
     def try_eject(
--- a/src/pomeloward/service/tuning.py
+++ b/src/pomeloward/service/tuning.py
@@ -41,6 +41,13 @@
     spread_floor: float = 0.15
     min_error_ratio: float = 0.25
     min_errors: int = 4
+    # One answer this much slower, or this share of errors, makes a target the
+    # last choice for a while.
+    suspect_ratio: float = 4.0
+    suspect_error_ratio: float = 0.3
+    suspect_interval_ms: float = 1_000.0
+    suspect_ms: float = 10_000.0
+    max_suspect_ms: float = 60_000.0
     ramp_ms: float = 1_000.0
     trial_count: int = 5
     backoff_ms: float = 10_000.0
@@ -54,6 +61,11 @@
         """The minimum ratio for an ejection, in nats."""
         return math.log(self.min_ratio)
 
+    @property
+    def suspect_nats(self) -> float:
+        """The ratio of one answer for a suspicion, in nats."""
+        return math.log(self.suspect_ratio)
+
     @property
     def fall_nats(self) -> float:
         """The minimum ratio for a fall to cold, in nats."""
