Let the paused clock pass deadlines that rounding hides

Cause: cells did not end, since trio's clock repeated a jump smaller than the resolution of its time.

--- a/bench/matrix/cell.py
+++ b/bench/matrix/cell.py
@@ -32,6 +32,7 @@
 _REACH_S = 6.0
 _WAVE = 80
 _FIRST_WAVE = 40
+_LEAST_JUMP_S = 1e-7
 # Seconds of the real clock; a cell takes about 4 s.
 _STUCK_S = 20
 _PLANNED_STOP = plan.HOSTS[5]
@@ -71,11 +72,11 @@
         """Run the cell under a paused clock."""
         wrappers.install()
         # Without these two, the order of tasks differs from run to run.
-        trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True  # type: ignore[attr-defined, misc]
-        trio._core._run._r.seed(self._seed)  # type: ignore[attr-defined]
+        trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True  # type: ignore[misc]
+        trio._core._run._r.seed(self._seed)
         return trio.run(
             self._main,
-            clock=trio.testing.MockClock(autojump_threshold=0),
+            clock=_clock(),
             instruments=[pauses.PauseInstrument()],
         )
 
@@ -157,6 +158,22 @@
         )
 
 
+def _clock() -> trio.testing.MockClock:
+    """Return a paused clock that goes on to the next deadline.
+
+    A jump that is lost in the rounding of the clock's time would be made
+    again without end.
+    """
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    jump = clock.jump
+
+    def jump_on(seconds: float) -> None:
+        jump(max(seconds, _LEAST_JUMP_S))
+
+    clock.jump = jump_on  # type: ignore[method-assign]
+    return clock
+
+
 def run_task(task: Task) -> Result:
     """Run the cell of a row, a column and a seed."""
     row, column, seed = task
--- a/bench/matrix/host.py
+++ b/bench/matrix/host.py
@@ -60,7 +60,7 @@
     def spawn(
         self,
         function: collections.abc.Callable[
-            ..., collections.abc.Awaitable[typing.Any]
+            ..., collections.abc.Coroutine[typing.Any, typing.Any, typing.Any]
         ],
         *args: typing.Any,
     ) -> None:
--- a/bench/matrix/pauses.py
+++ b/bench/matrix/pauses.py
@@ -71,8 +71,10 @@
         if self._gate.is_paused:
             self._held = value
             self._gate.held.append(self._task)
-            trap = trio.lowlevel.wait_task_rescheduled(_never_abort)
-            return trap.__await__().send(None)  # type: ignore[attr-defined]
+            trap = trio.lowlevel.wait_task_rescheduled(  # noqa: ASYNC105
+                _never_abort
+            )
+            return trap.__await__().send(None)
         return self._coro.send(value)
 
     def __getattr__(self, name: str) -> typing.Any:
--- a/bench/matrix/plants.py
+++ b/bench/matrix/plants.py
@@ -4,6 +4,7 @@
 import typing
 
 import anyio
+import anyio.lowlevel
 import expression
 
 from bench.matrix import plan
@@ -17,7 +18,7 @@
 from pomeloward.budget import bucket
 from pomeloward.entry import exchange
 from pomeloward.entry import grant
-from pomeloward.entry import handler
+from pomeloward.entry import targetrequests
 from pomeloward.gateway import cachedview
 from pomeloward.gateway import fleet
 from pomeloward.gateway import localorders
@@ -63,14 +64,14 @@
 
 
 def _key_left_in() -> Undo:
-    build = handler.targetrequests.build
+    build = targetrequests.build
 
     def leaking(*args: typing.Any, **named: typing.Any) -> typing.Any:
         made = build(*args, **named)
         made.headers.append((b"x-api-key", plan.KEYS["big"].encode()))
         return made
 
-    return _replace(handler.targetrequests, "build", leaking)
+    return _replace(targetrequests, "build", leaking)
 
 
 def _withdrawn_kept() -> Undo:
@@ -163,7 +164,7 @@
 
 def _stop_at_once() -> Undo:
     async def wait_empty(self: entry.OpenWork) -> None:
-        await anyio.sleep(0)
+        await anyio.lowlevel.checkpoint()
 
     return _replace(entry.OpenWork, "wait_empty", wait_empty)
 
--- a/bench/matrix/rows.py
+++ b/bench/matrix/rows.py
@@ -46,7 +46,7 @@
     rest = list(itertools.combinations(names, 2))
     rng.shuffle(rest)
     uses: collections.Counter[str] = collections.Counter()
-    drawn = []
+    drawn: list[tuple[str, str]] = []
     while rest and len(drawn) < count:
         pair = min(rest, key=lambda pair: uses[pair[0]] + uses[pair[1]])
         rest.remove(pair)
--- a/bench/matrix/transport.py
+++ b/bench/matrix/transport.py
@@ -54,7 +54,7 @@
             "httpx.AsyncByteStream", request.stream
         ):
             body += chunk
-        path = typing.cast("bytes", request.url.raw_path)
+        path = request.url.raw_path
         headers = list(request.headers.raw)
         sent = exchange.Sent(self._host, request.method, path, headers)
         await anyio.sleep(_CONNECT_S)
--- a/bench/matrix/wrappers.py
+++ b/bench/matrix/wrappers.py
@@ -41,13 +41,15 @@
     _wrap(targetrecord.TargetRecord, "eject", _noting(steps.Step.EJECTION))
     _wrap(targetrecord.TargetRecord, "ramp", _noting(steps.Step.RAMP))
     # Request ids differ from run to run otherwise.
-    secrets.token_hex = lambda count=None: Watched.rng.randbytes(
-        count or 8
-    ).hex()
+    secrets.token_hex = _token_hex
     # A freeze would keep the objects of every finished cell.
     gateway._quiet_collector = lambda: None
 
 
+def _token_hex(nbytes: int | None = None) -> str:
+    return Watched.rng.randbytes(nbytes or 8).hex()
+
+
 def _wrap(
     owner: type,
     name: str,
