Let the lost starts of restarted hosts end with their cell

Cause: cells with a restarted host did not end: tasks of the lost start stayed paused. Change: the world resumes the gates of all starts when it closes.

--- a/bench/matrix/world.py
+++ b/bench/matrix/world.py
@@ -63,6 +63,8 @@
         self.wave_at_s: float | None = None
         self._seed = seed
         self._incarnation = 0
+        # Also those of starts that were lost.
+        self._gates: list[pauses.Gate] = []
         self._bids: set[tuple[model.HostId, int, int]] = set()
         self._restarting: set[model.HostId] = set()
         World.running = self
@@ -92,6 +94,7 @@
         if name in self.hosts:
             self._restarting.add(name)
         self.hosts[name] = made
+        self._gates.append(made.gate)
         made.spawn(made.run)
 
     def stop_host(self, name: model.HostId) -> None:
@@ -102,8 +105,8 @@
 
     def close(self) -> None:
         """Let all tasks run to their end; what they do is not looked at."""
-        for host in self.hosts.values():
-            host.gate.resume()
+        for gate in self._gates:
+            gate.resume()
 
     def live(self) -> list[hosts.Host]:
         """Return the hosts that callers could connect to."""
