--- a/bench/matrix/plants.py
+++ b/bench/matrix/plants.py
@@ -18,7 +18,7 @@
 from pomeloward.budget import bucket
 from pomeloward.entry import exchange
 from pomeloward.entry import grant
-from pomeloward.entry import handler
+from pomeloward.entry import targetrequests
 from pomeloward.gateway import cachedview
 from pomeloward.gateway import fleet
 from pomeloward.gateway import localorders
@@ -64,14 +64,14 @@
 
 
 def _key_left_in() -> Undo:
-    build = handler.targetrequests.build
+    build = targetrequests.build
 
     def leaking(*args: typing.Any, **named: typing.Any) -> typing.Any:
         made = build(*args, **named)
         made.headers.append((b"x-api-key", plan.KEYS["big"].encode()))
         return made
 
-    return _replace(handler.targetrequests, "build", leaking)
+    return _replace(targetrequests, "build", leaking)
 
 
 def _withdrawn_kept() -> Undo:
