Keep a team's turns in the order of arrival

The check also compared the queues of two services with each other. Change: within a team, the earlier arrival takes the earlier position; the check keeps services apart and prints when tickets entered.

--- a/bench/capacity/reports.py
+++ b/bench/capacity/reports.py
@@ -7,6 +7,7 @@
 import time
 
 from bench import fleetmodel
+from bench import fleetparts
 from bench import modelview
 from bench.capacity import fit
 from bench.capacity import framing
@@ -85,7 +86,7 @@
     """Run one service with its planned share of all requests."""
     rate_per_ms = size.REQUESTS_PER_S / size.SERVICES / size.REGIONS / 1_000
     concurrent = rate_per_ms * size.SERVICE_MS
-    deployment = fleetmodel.Deployment(
+    deployment = fleetparts.Deployment(
         "planned",
         targets,
         _SLOTS,
--- a/bench/matrix/checkload.py
+++ b/bench/matrix/checkload.py
@@ -102,11 +102,12 @@
 
 def turns(world: worlds.World) -> Violations:
     """P14: within a team's queue on a host, who came first goes first."""
-    lines: dict[tuple[str, str, bool], list[seen.Turn]] = (
+    lines: dict[tuple[str, str, str, bool], list[seen.Turn]] = (
         collections.defaultdict(list)
     )
     for turn in world.seen.turns:
-        lines[turn.host, turn.team, turn.is_deferrable].append(turn)
+        line = lines[turn.host, turn.service, turn.team, turn.is_deferrable]
+        line.append(turn)
     for line in lines.values():
         line.sort(key=lambda turn: turn.arrived_ms)
         for first, second in itertools.combinations(line, 2):
@@ -114,9 +115,11 @@
                 yield violation.Violation(
                     "P14",
                     f"{first.host}, team {first.team}: arrived"
-                    f" {first.arrived_ms:.1f} ms and waited until"
+                    f" {first.arrived_ms:.1f} ms, entered"
+                    f" {first.entered_ms:.1f} ms and waited until"
                     f" {first.left_ms:.1f} ms; arrived"
-                    f" {second.arrived_ms:.1f} ms got a slot at"
+                    f" {second.arrived_ms:.1f} ms, entered"
+                    f" {second.entered_ms:.1f} ms got a slot at"
                     f" {second.left_ms:.1f} ms",
                 )
 
--- a/src/pomeloward/queue/fairorder.py
+++ b/src/pomeloward/queue/fairorder.py
@@ -45,11 +45,19 @@
         ticket.position = (start, self._number)
 
     def push(self, ticket: ticket_.Ticket) -> None:
-        """Let a ticket wait at its position."""
+        """Let a ticket wait at its position.
+
+        Within a team, who arrived first goes first: requests that wait for
+        tokens of their rate come here together, in any order.
+        """
         self.place(ticket)
         assert ticket.position is not None
         line = self._waiting.setdefault(ticket.team, [])
-        bisect.insort(line, (ticket.position, ticket), key=_position)
+        index = bisect.bisect(line, ticket.position, key=_position)
+        line.insert(index, (ticket.position, ticket))
+        while index and line[index - 1][1].arrived_ms > ticket.arrived_ms:
+            _swap(line, index)
+            index -= 1
         self._length += 1
 
     def remove(self, ticket: ticket_.Ticket) -> bool:
@@ -114,5 +122,12 @@
         }
 
 
+def _swap(line: list[tuple[_Position, ticket_.Ticket]], index: int) -> None:
+    """Let a ticket change places with the one before it."""
+    (early, before), (late, ticket) = line[index - 1], line[index]
+    before.position, ticket.position = late, early
+    line[index - 1], line[index] = (early, ticket), (late, before)
+
+
 def _position(entry: tuple[_Position, ticket_.Ticket]) -> _Position:
     return entry[0]
--- a/tests/queue/test_fairqueue.py
+++ b/tests/queue/test_fairqueue.py
@@ -190,3 +190,26 @@
     assert 900 < steady.wait_ms(20, 1_000.0) < 1_100
     assert pace.latest_start_ms(0.0, 1_000.0, 50.0) == 950.0
     assert pace.latest_start_ms(0.0, 1_000.0, 5_000.0) == 800.0
+
+
+def test_turns_of_a_team_follow_arrival():
+    """Guards against requests overtaken while they waited for tokens.
+
+    They enter the queue together and in any order when tokens come.
+    """
+    queue = fairqueue.FairQueue()
+    tickets = [make(TEAMS[0], arrived_ms=float(n)) for n in (3, 1, 4, 2)]
+    for ticket in tickets:
+        queue.push(ticket)
+    order = [ticket.arrived_ms for ticket in queue.in_order()]
+    assert order == [1.0, 2.0, 3.0, 4.0]
+
+
+def test_arrival_does_not_move_a_team_ahead():
+    """Guards against a team that gains turns of others by late entry."""
+    queue = fairqueue.FairQueue()
+    for number in (10, 11, 12):
+        queue.push(make(TEAMS[0], arrived_ms=float(number)))
+    queue.push(make(TEAMS[1], arrived_ms=0.0))
+    teams = [ticket.team for ticket in queue.in_order()]
+    assert teams[:2] == [TEAMS[0], TEAMS[1]]
