--- a/tests/queue/test_fairqueue.py
+++ b/tests/queue/test_fairqueue.py
@@ -198,10 +198,9 @@
     They enter the queue together and in any order when tokens come.
     """
     queue = fairqueue.FairQueue()
-    tickets = [make(TEAMS[0], arrived_ms=float(n)) for n in (3, 1, 4, 2)]
-    for ticket in tickets:
-        queue.push(ticket)
-    order = [ticket.arrived_ms for ticket in queue.in_order()]
+    for arrived_ms in (3.0, 1.0, 4.0, 2.0):
+        queue.push(make(TEAMS[0], arrived_ms=arrived_ms))
+    order = [waiting.arrived_ms for waiting in queue.in_order()]
     assert order == [1.0, 2.0, 3.0, 4.0]
 
 
@@ -211,5 +210,5 @@
     for number in (10, 11, 12):
         queue.push(make(TEAMS[0], arrived_ms=float(number)))
     queue.push(make(TEAMS[1], arrived_ms=0.0))
-    teams = [ticket.team for ticket in queue.in_order()]
+    teams = [waiting.team for waiting in queue.in_order()]
     assert teams[:2] == [TEAMS[0], TEAMS[1]]
