Name what the live measure of a cut target shows

Cause: for a target cut from some hosts the figure is the last failed answer that a caller got, not the last new work. Change: the measure's name says so.

--- a/bench/measure/live.py
+++ b/bench/measure/live.py
@@ -99,7 +99,11 @@
                 for done in self._load.outcomes()
                 if done.at_s > since_s and done.status in (502, 504)
             ]
-        self._add(f"detection, {kind}", max(late_s, default=0.0), "s", 3.0)
+        measure = f"detection, {kind}, last new work"
+        if kind == "cut":
+            # A connect that fails and is retried elsewhere starts no work.
+            measure = "detection, cut, last failed answer"
+        self._add(measure, max(late_s, default=0.0), "s", 3.0)
         await asyncio.sleep(_RECOVERY_S)
 
     async def _move_zone(self) -> None:
