Hold slow start back while a target is slow

Cause: the fault matrix saw cold targets become warm at 4 to 8 times their usual latency: with fewer than 4 warm targets there was no reference, and then no latency counted as slow. A target that slowed down kept its level.

--- a/src/pomeloward/service/targetrecord.py
+++ b/src/pomeloward/service/targetrecord.py
@@ -105,10 +105,11 @@
         """Advance slow start at the end of an interval.
 
         An interval with errors, sheds or slow answers is repeated, and the
-        level falls back to 1 when the target sheds load.
+        level falls back to 1 when the target sheds load or slows down: it
+        bears less than the level.
         """
         since = self._since
-        if since.sheds and self.level > 1:
+        if (since.sheds or is_slow) and self.level > 1:
             self.level = 1
             self._restart(now_ms)
             return
--- a/src/pomeloward/service/targetset.py
+++ b/src/pomeloward/service/targetset.py
@@ -162,11 +162,12 @@
     ) -> None:
         if record.state is _STATE.COLD:
             sums = record.window.sums(self._tuning.ramp_ms, now_ms)
+            # Without enough warm targets the usual latency that hosts know
+            # of the route is the reference.
             is_slow = (
-                reference is not None
-                and sums.samples > 0
-                and sums.nats / sums.samples - reference
-                >= self._tuning.fall_nats
+                sums.samples > 0
+                and sums.nats / sums.samples - (reference or 0.0)
+                >= self._tuning.ramp_nats
             )
             record.ramp(is_slow, now_ms)
         elif record.state is _STATE.EJECTED and now_ms >= record.until_ms:
