Check the state of a slow target in the ramp's test

Change: the test checks the state. Result: with the fault planted 2 tests are red, without it 3 pass.

--- a/tests/service/test_ramp.py
+++ b/tests/service/test_ramp.py
@@ -53,6 +53,7 @@
     """
     record = _record()
     _run(record, 0.0, 6_000.0, centinats=100)
+    assert record.state is targetstate.TargetState.COLD
     assert record.level == 1
 
 
