--- a/src/pomeloward/service/targetrecord.py
+++ b/src/pomeloward/service/targetrecord.py
@@ -101,21 +101,24 @@
         self._since.errors += evidence.errors + evidence.connect_failures
         self._since.sheds += evidence.sheds
 
-    def ramp(self, is_slow: bool, now_ms: float) -> None:
+    def ramp(self, excess: float, now_ms: float) -> None:
         """Advance slow start at the end of an interval.
 
-        An interval with errors, sheds or slow answers is repeated, and the
-        level falls back to 1 when the target sheds load or slows down: it
-        bears less than the level.
+        ``excess`` is by how many nats the target is slower than usual. An
+        interval with errors, sheds or slow answers is repeated, and the
+        level falls back to 1 when the target sheds load or slows down much:
+        it bears less than the level.
         """
         since = self._since
-        if (since.sheds or is_slow) and self.level > 1:
+        has_fallen = since.sheds or excess >= self._tuning.min_nats
+        if has_fallen and self.level > 1:
             self.level = 1
             self._restart(now_ms)
             return
         length_ms = self._tuning.ramp_ms * (1 + model.MAX_DRIFT_RATIO)
         if now_ms - self._interval_ms < length_ms or since.count < self.level:
             return
+        is_slow = excess >= self._tuning.fall_nats
         is_healthy = not (is_slow or since.errors or since.sheds)
         self._restart(now_ms)
         if not is_healthy:
--- a/src/pomeloward/service/targetset.py
+++ b/src/pomeloward/service/targetset.py
@@ -164,12 +164,10 @@
             sums = record.window.sums(self._tuning.ramp_ms, now_ms)
             # Without enough warm targets the usual latency that hosts know
             # of the route is the reference.
-            is_slow = (
-                sums.samples > 0
-                and sums.nats / sums.samples - (reference or 0.0)
-                >= self._tuning.ramp_nats
-            )
-            record.ramp(is_slow, now_ms)
+            excess = 0.0
+            if sums.samples:
+                excess = sums.nats / sums.samples - (reference or 0.0)
+            record.ramp(excess, now_ms)
         elif record.state is _STATE.EJECTED and now_ms >= record.until_ms:
             span_ms = max(self._tuning.windows_ms)
             if record.window.failing_hosts(span_ms, now_ms):
--- a/src/pomeloward/service/tuning.py
+++ b/src/pomeloward/service/tuning.py
@@ -49,8 +49,6 @@
     suspect_ms: float = 10_000.0
     max_suspect_ms: float = 60_000.0
     ramp_ms: float = 1_000.0
-    # A cold target that is this much slower than usual bears no more yet.
-    ramp_ratio: float = 1.5
     trial_count: int = 5
     backoff_ms: float = 10_000.0
     max_backoff_ms: float = 300_000.0
@@ -63,11 +61,6 @@
         """The minimum ratio for an ejection, in nats."""
         return math.log(self.min_ratio)
 
-    @property
-    def ramp_nats(self) -> float:
-        """The ratio that holds a slow start back, in nats."""
-        return math.log(self.ramp_ratio)
-
     @property
     def suspect_nats(self) -> float:
         """The ratio of one answer for a suspicion, in nats."""
