--- a/src/pomeloward/service/detector.py
+++ b/src/pomeloward/service/detector.py
@@ -45,13 +45,31 @@
 
     def reference(self, records: _Records, now_ms: float) -> float | None:
         """Return the usual mean log latency of warm targets, in nats."""
+        warm = [each for each in records if each.state is _STATE.WARM]
         span_ms = max(self._tuning.windows_ms)
+        return self._median(warm, self._tuning.min_count, span_ms, now_ms)
+
+    def recent(self, records: _Records, now_ms: float) -> float | None:
+        """Return the mean log latency of serving targets of late, in nats.
+
+        Heavy requests that reach all targets at once must not look like
+        slow targets, so the interval is as short as that of slow start.
+        """
+        serving = [each for each in records if each.is_serving]
+        return self._median(serving, 1, self._tuning.ramp_ms, now_ms)
+
+    def _median(
+        self,
+        records: _Records,
+        min_count: int,
+        interval_ms: float,
+        now_ms: float,
+    ) -> float | None:
         means = []
         for record in records:
-            if record.state is _STATE.WARM:
-                sums = record.window.sums(span_ms, now_ms)
-                if sums.samples >= self._tuning.min_count:
-                    means.append(sums.nats / sums.samples)
+            sums = record.window.sums(interval_ms, now_ms)
+            if sums.samples >= min_count:
+                means.append(sums.nats / sums.samples)
         if len(means) < self._tuning.min_peers:
             return None
         return statistics.median(means)
--- a/src/pomeloward/service/targetrecord.py
+++ b/src/pomeloward/service/targetrecord.py
@@ -106,12 +106,10 @@
 
         ``excess`` is by how many nats the target is slower than usual. An
         interval with errors, sheds or slow answers is repeated, and the
-        level falls back to 1 when the target sheds load or slows down much:
-        it bears less than the level.
+        level falls back to 1 when the target sheds load.
         """
         since = self._since
-        has_fallen = since.sheds or excess >= self._tuning.min_nats
-        if has_fallen and self.level > 1:
+        if since.sheds and self.level > 1:
             self.level = 1
             self._restart(now_ms)
             return
--- a/src/pomeloward/service/targetset.py
+++ b/src/pomeloward/service/targetset.py
@@ -101,13 +101,14 @@
             else:
                 self.try_eject(record, now_ms)
         reference = self._detector.reference(self.records, now_ms)
+        recent = self._detector.recent(self.records, now_ms)
         for record in self.records:
-            self._advance(record, reference, now_ms)
+            self._advance(record, reference, recent, now_ms)
             if record.state is _STATE.WARM:
                 sums = record.window.sums(
                     self._tuning.suspect_interval_ms, now_ms
                 )
-                record.suspicion.update(sums, reference, now_ms)
+                record.suspicion.update(sums, recent, now_ms)
         self._keep_floor(now_ms)
 
     def try_eject(
@@ -158,6 +159,7 @@
         self,
         record: targetrecord.TargetRecord,
         reference: float | None,
+        recent: float | None,
         now_ms: float,
     ) -> None:
         if record.state is _STATE.COLD:
@@ -166,7 +168,7 @@
             # of the route is the reference.
             excess = 0.0
             if sums.samples:
-                excess = sums.nats / sums.samples - (reference or 0.0)
+                excess = sums.nats / sums.samples - (recent or 0.0)
             record.ramp(excess, now_ms)
         elif record.state is _STATE.EJECTED and now_ms >= record.until_ms:
             span_ms = max(self._tuning.windows_ms)
