Share one protocol of owners between budget and service

Cause: both packages had a copy of the part of ownership that they use. Change: ownership.OwnerLookup, which Ownership extends; the map of portions has a file of its own.

--- a/src/pomeloward/budget/directory.py
+++ b/src/pomeloward/budget/directory.py
@@ -6,9 +6,10 @@
 
 from pomeloward import catalog
 from pomeloward import model
-from pomeloward.budget import owners
+from pomeloward import ownership
 from pomeloward.budget import place
 from pomeloward.budget import portion
+from pomeloward.budget import portionmapping
 
 
 class Directory:
@@ -18,13 +19,13 @@
         self,
         host: model.HostId,
         view: collections.abc.Callable[[], catalog.View],
-        ownership: owners.Owners,
-        mapping: owners.PortionMapping,
+        owners: ownership.OwnerLookup,
+        mapping: portionmapping.PortionMapping,
     ) -> None:
         """Read the configuration in force from ``view``."""
         self._host = host
         self._view = view
-        self._ownership = ownership
+        self._owners = owners
         self._mapping = mapping
         self._version: model.Version | None = None
         self._known: dict[
@@ -43,7 +44,7 @@
             place.Place(
                 found_portion,
                 partition,
-                self._ownership.owner_of(partition, now_ms),
+                self._owners.owner_of(partition, now_ms),
             )
             for found_portion, partition in self._portions(team)
         ]
@@ -60,7 +61,7 @@
         self, source: place.Place, now_ms: float
     ) -> model.HostId | None:
         """Return the present owner of a place that was found before."""
-        return self._ownership.owner_of(source.partition, now_ms)
+        return self._owners.owner_of(source.partition, now_ms)
 
     def partition_of(
         self, found_portion: portion.Portion
--- a/src/pomeloward/budget/shell.py
+++ b/src/pomeloward/budget/shell.py
@@ -1,11 +1,11 @@
 """Connects the lender to peers, ownership and configuration."""
 
 from pomeloward import model
+from pomeloward import ownership
 from pomeloward import peer
 from pomeloward.budget import directory
 from pomeloward.budget import lender
 from pomeloward.budget import messages
-from pomeloward.budget import owners
 from pomeloward.budget import place
 
 
@@ -21,11 +21,11 @@
     def __init__(
         self,
         peers: peer.Peers,
-        ownership: owners.Owners,
+        owners: ownership.OwnerLookup,
         places: directory.Directory,
     ) -> None:
         """Register the handlers."""
-        self._ownership = ownership
+        self._owners = owners
         self._places = places
         self._lender = lender.Lender()
         self._epochs: dict[model.PartitionId, model.Epoch] = {}
@@ -97,5 +97,5 @@
     def _holds(self, partition: model.PartitionId, now_ms: float) -> bool:
         # Buckets of an earlier epoch are out of date where another host was
         # the owner in between.
-        epoch = self._ownership.holds(partition, now_ms)
+        epoch = self._owners.holds(partition, now_ms)
         return epoch is not None and epoch == self._epochs.get(partition)
--- a/src/pomeloward/ownership/__init__.py
+++ b/src/pomeloward/ownership/__init__.py
@@ -1,5 +1,6 @@
 """Leased ownership of partitions, granted by voters."""
 
+from pomeloward.ownership.ownerlookup import OwnerLookup as OwnerLookup
 from pomeloward.ownership.ownership import Ownership as Ownership
 from pomeloward.ownership.partitions import make_partition as make_partition
 from pomeloward.ownership.partitions import partition_of as partition_of
--- a/src/pomeloward/ownership/ownership.py
+++ b/src/pomeloward/ownership/ownership.py
@@ -4,27 +4,11 @@
 import typing
 
 from pomeloward import model
+from pomeloward.ownership import ownerlookup
 
 
-class Ownership(typing.Protocol):
-    """The owners of the partitions of this host's region."""
-
-    def owner_of(
-        self, partition: model.PartitionId, now_ms: float
-    ) -> model.HostId | None:
-        """Return the owner as far as known, or None.
-
-        The answer is a hint for where to ask; only the owner itself knows
-        whether it still is one.
-        """
-
-    def holds(
-        self, partition: model.PartitionId, now_ms: float
-    ) -> model.Epoch | None:
-        """Return this host's epoch if it owns the partition now.
-
-        Checked immediately before each act that only the owner may do.
-        """
+class Ownership(ownerlookup.OwnerLookup, typing.Protocol):
+    """Owners of partitions, and the voters that grant them."""
 
     def voters_of(
         self, partition: model.PartitionId
--- a/src/pomeloward/service/client.py
+++ b/src/pomeloward/service/client.py
@@ -9,12 +9,12 @@
 
 from pomeloward import catalog
 from pomeloward import model
+from pomeloward import ownership
 from pomeloward import peer
 from pomeloward.service import channel as channel_
 from pomeloward.service import demand
 from pomeloward.service import hostslots
 from pomeloward.service import messages
-from pomeloward.service import owners as owners_
 from pomeloward.service import slothold
 from pomeloward.service import tuning as tuning_
 
@@ -46,7 +46,7 @@
         region: model.RegionId,
         incarnation: model.Incarnation,
         peers: peer.Peers,
-        owners: owners_.Owners,
+        owners: ownership.OwnerLookup,
         partition_of: PartitionOf,
         clock: Clock,
         rng: random.Random,
--- a/src/pomeloward/service/controllers.py
+++ b/src/pomeloward/service/controllers.py
@@ -8,10 +8,10 @@
 
 from pomeloward import catalog
 from pomeloward import model
+from pomeloward import ownership
 from pomeloward import peer
 from pomeloward.service import controller as controller_
 from pomeloward.service import messages
-from pomeloward.service import owners as owners_
 from pomeloward.service import targetstate
 from pomeloward.service import tuning as tuning_
 
@@ -37,7 +37,7 @@
         host: model.HostId,
         region: model.RegionId,
         peers: peer.Peers,
-        owners: owners_.Owners,
+        owners: ownership.OwnerLookup,
         partition_of: PartitionOf,
         clock: collections.abc.Callable[[], float],
         rng: random.Random,
