--- a/src/pomeloward/service/targetset.py
+++ b/src/pomeloward/service/targetset.py
@@ -104,7 +104,7 @@
         recent = self._detector.recent(self.records, now_ms)
         for record in self.records:
             self._advance(record, reference, recent, now_ms)
-            if record.state is _STATE.WARM:
+            if record.is_serving:
                 sums = record.window.sums(
                     self._tuning.suspect_interval_ms, now_ms
                 )
--- a/tests/service/test_suspicion.py
+++ b/tests/service/test_suspicion.py
@@ -6,8 +6,10 @@
 from pomeloward import model
 from pomeloward.service import ledger as ledgers
 from pomeloward.service import lending
+from pomeloward.service import messages
 from pomeloward.service import suspicion
 from pomeloward.service import targetrecord
+from pomeloward.service import targetset
 from pomeloward.service import targetstate
 from pomeloward.service import tuning as tunings
 from pomeloward.service import window
@@ -94,3 +96,19 @@
     suspect = records[0].id
     grants = _choose(records, {}, 4, {suspect})
     assert grants == {records[0].id: 2, records[1].id: 2}
+
+
+def test_cold_target_is_suspected_too():
+    """Guards against new work at a slow target that is still warming up.
+
+    At low load targets stay cold for long; live runs had the last new work
+    after 4.1 s and 5.5 s at the median while only warm ones were judged.
+    """
+    targets = targetset.TargetSet(_TUNING, random.Random(1))
+    targets.records = _records(2, slots=2)
+    slow = targets.records[0]
+    slow.fall(0.0)
+    evidence = messages.Evidence(index=0, count=1, samples=1, centinats=230)
+    slow.observe(_HOST, evidence, 500.0)
+    targets.tick(600.0)
+    assert targets.suspects(700.0) == {slow.id}
