Forget noted target states with their controller, and save plots once

Cause: a controller that was dropped left its noted states behind, so a host that got the service back would compare with states of an earlier term; two plots of the capacity run ended in the same lines. Change: _drop forgets the noted states; plots share _save.

--- a/bench/capacity/plots.py
+++ b/bench/capacity/plots.py
@@ -1,6 +1,7 @@
 """Plots of memory against teams and of bytes against hosts."""
 
 import pathlib
+import typing
 
 import matplotlib
 
@@ -31,10 +32,7 @@
     axes.axhline(size.STATE_BOUND_MB, color="red", label="bound, 64 MB")
     axes.set_xlabel("teams (routes, keys and targets in proportion)")
     axes.set_ylabel("MB")
-    axes.set_ylim(bottom=0)
-    axes.legend()
-    figure.tight_layout()
-    figure.savefig(path, dpi=100)
+    _save(figure, axes, path)
 
 
 def _bytes(found: plan.Plan, path: pathlib.Path) -> None:
@@ -55,6 +53,10 @@
     axes.axhline(size.BYTES_BOUND_PER_S, color="red", label="bound, 9 KB/s")
     axes.set_xlabel("hosts")
     axes.set_ylabel("bytes/s sent by a host")
+    _save(figure, axes, path)
+
+
+def _save(figure: typing.Any, axes: typing.Any, path: pathlib.Path) -> None:
     axes.set_ylim(bottom=0)
     axes.legend()
     figure.tight_layout()
--- a/src/pomeloward/service/controllers.py
+++ b/src/pomeloward/service/controllers.py
@@ -193,6 +193,7 @@
     def _drop(self, partition: model.PartitionId) -> None:
         for service in self._services(partition):
             self._controllers.pop(service, None)
+            self._noted.pop(service, None)
 
     def _services(self, partition: model.PartitionId) -> list[model.ServiceId]:
         if self._view is None:
