Refuse waiting requests as soon as they can't be in time

Cause: a request that was admitted to the line waited until its latest start even when targets were lost or urgent requests came after it, so that its caller learned of the refusal when it was too late to go elsewhere. Change: the line names the requests that can't start in time any more, every 20 ms; they are refused with the time after which the line is shorter. Ruled out: the stricter estimate of admission, which counts the request's own work: a line at its limit would refuse what it has just admitted. Measured: tests/pending and tests/relay/test_placement.py: the new tests fail before and pass after. Conclusion: a refusal comes within 20 ms of its cause.

--- a/src/pomeloward/pending/line.py
+++ b/src/pomeloward/pending/line.py
@@ -8,7 +8,7 @@
 
     The line answers two loads: bursts above the slots of a service, where
     the urgent go first, and the loss of targets, where the rest is refused
-    at once with the time until the line is shorter.
+    at once, waiting or new, with the time until the line is shorter.
     """
 
     def __init__(self) -> None:
@@ -44,6 +44,21 @@
         if ticket in self._waiting:
             self._waiting.remove(ticket)
 
+    def overdue(self, slots: int, now_ms: float) -> list[tickets.Ticket]:
+        """Return the requests that can't start in time any more.
+
+        Slots that were lost and urgent requests that came later push back
+        those that were admitted.
+        """
+        found: list[tickets.Ticket] = []
+        ahead_ms = 0.0
+        for one in self.in_order(now_ms):
+            if now_ms + ahead_ms / max(1, slots) > one.latest_start_ms:
+                found.append(one)
+            else:
+                ahead_ms += one.run_ms
+        return found
+
     def in_order(self, now_ms: float) -> list[tickets.Ticket]:
         """Return the waiting requests, the next one first."""
         return sorted(self._waiting, key=lambda one: one.order(now_ms))
--- a/src/pomeloward/relay/placement.py
+++ b/src/pomeloward/relay/placement.py
@@ -32,7 +32,8 @@
         self.call = call
         self.avoid = avoid
         self.run: balance.Run | None = None
-        self.ready = anyio.Event()
+        # Set when the call got a slot, or can't get one in time.
+        self.is_decided = anyio.Event()
 
 
 class Placement:
@@ -95,7 +96,7 @@
             if run is not None:
                 line.leave(ticket)
                 waiter.run = run
-                waiter.ready.set()
+                waiter.is_decided.set()
 
     async def run(self) -> None:
         """Serve the lines as time passes, until cancelled."""
@@ -106,6 +107,13 @@
             await anyio.sleep(_LOOK_S)
             for service in list(self._lines):
                 self.serve(service)
+                self._refuse_overdue(service)
+
+    def _refuse_overdue(self, service: model.ServiceId) -> None:
+        """Let calls that can't be in time go elsewhere while they can."""
+        slots = self._balancer.slots(service)
+        for ticket in self._line(service).overdue(slots, model.now_ms()):
+            self._waiters[ticket].is_decided.set()
 
     async def _wait(
         self, line: pending.Line, ticket: pending.Ticket, waiter: _Waiter
@@ -116,7 +124,7 @@
         try:
             left_ms = ticket.latest_start_ms - model.now_ms()
             with anyio.move_on_after(max(0.0, left_ms) / 1_000):
-                await waiter.ready.wait()
+                await waiter.is_decided.wait()
         except BaseException:
             if waiter.run is not None:
                 self.release(waiter.run, balance.Ending.ABANDONED, waiter.call)
--- a/tests/pending/test_line.py
+++ b/tests/pending/test_line.py
@@ -40,6 +40,25 @@
     assert line.admits(_ticket(0), 2, 0.0)
 
 
+def test_requests_that_lost_slots_push_back_are_overdue():
+    line = pending.Line()
+    tickets = [_ticket(2) for _ in range(40)]
+    for ticket in tickets:
+        line.enter(ticket)
+    assert not line.overdue(4, 0.0)
+    assert line.overdue(2, 0.0) == tickets[39:]
+    assert len(line.overdue(1, 0.0)) == 20
+
+
+def test_urgent_request_is_not_overdue_behind_others():
+    line = pending.Line()
+    for _ in range(40):
+        line.enter(_ticket(2))
+    urgent = _ticket(0)
+    line.enter(urgent)
+    assert urgent not in line.overdue(1, 0.0)
+
+
 def test_nothing_is_admitted_without_slots():
     assert not pending.Line().admits(_ticket(), 0, 0.0)
 
--- a/tests/relay/test_placement.py
+++ b/tests/relay/test_placement.py
@@ -5,27 +5,15 @@
 import trio.testing
 
 from pomeloward import balance
-from pomeloward import entry
 from pomeloward import model
 from pomeloward import relay
 from tests.balance import world
+from tests.relay import calls
 
 
-def _call(is_idempotent=True, priority=1, end_ms=2_000.0):
+def _call(is_idempotent=True, end_ms=2_000.0):
     given = world.route("s", is_idempotent=is_idempotent)
-    now_ms = anyio.current_time() * 1_000
-    return relay.Call(
-        id=model.RequestId("q"),
-        route=given,
-        service=world.SERVICE,
-        team=None,
-        method="GET",
-        target_path=b"/",
-        headers=[],
-        body=entry.NoBody(),
-        arrived_ms=now_ms,
-        end_ms=now_ms + end_ms,
-    )
+    return calls.call(given, end_ms)
 
 
 def _run(script, targets):
@@ -102,3 +90,31 @@
         assert anyio.current_time() * 1_000 <= call.end_ms
 
     _run(script, [world.target("n1")])
+
+
+def test_waiting_request_is_refused_as_soon_as_it_cannot_be_in_time():
+    """Targets were lost while it waited; it was held to its deadline."""
+
+    async def script(placement, made):
+        holding = [placement.try_place(_call(), set()) for _ in range(6)]
+        assert None not in holding
+        ended_s = []
+
+        async def wait(call):
+            placed = await placement.place(call, set())
+            if placed.is_error():
+                ended_s.append(anyio.current_time())
+                assert placed.error.retry_after_ms > 0
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(20):
+                tasks.start_soon(wait, _call(end_ms=1_500.0))
+            await anyio.sleep(0.1)
+            assert not ended_s
+            made.configure([world.target("n1", slots=1)], (), 100.0)
+            await anyio.sleep(0.1)
+            early = len(ended_s)
+            tasks.cancel_scope.cancel()
+        assert early >= 5
+
+    _run(script, [world.target("n1"), world.target("n2")])
