Give back the token of a request that has not run

Cause: the rate was charged at admission, also for requests that were then refused for want of a slot, so that a team lost part of its rate in a burst. Change: a refusal that says "not run" returns the token, and the next report tells the other hosts. Ruled out: charging when a target is chosen: requests of a team above its rate would then wait in the line before they are refused. Conclusion: only requests that reach a target count.

--- a/src/pomeloward/quota/bucket.py
+++ b/src/pomeloward/quota/bucket.py
@@ -50,9 +50,9 @@
         return True
 
     def spent_elsewhere(self, count: float, now_ms: float) -> None:
-        """Take tokens that another host has spent."""
+        """Take tokens that another host has spent; below 0 it returns some."""
         self._fill(now_ms)
-        self._tokens -= count
+        self._tokens = min(self._burst, self._tokens - count)
 
     def wait_ms(self, now_ms: float) -> float:
         """Return how long until a token is there again."""
--- a/src/pomeloward/quota/messages.py
+++ b/src/pomeloward/quota/messages.py
@@ -7,7 +7,10 @@
 
 
 class TeamSpending(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """How many requests of a team a host has admitted."""
+    """How many requests of a team a host has admitted.
+
+    Below 0 where more were given back than admitted since the last report.
+    """
 
     team: model.TeamId
     requests: int
--- a/src/pomeloward/quota/quotas.py
+++ b/src/pomeloward/quota/quotas.py
@@ -63,6 +63,14 @@
         self._spent[team] = self._spent.get(team, 0) + 1
         return True
 
+    def give_back(self, team: model.TeamId, now_ms: float) -> None:
+        """Return the token of a request that has not run."""
+        bucket = self._buckets.get(team)
+        if bucket is None:
+            return
+        bucket.spent_elsewhere(-1, now_ms)
+        self._spent[team] = self._spent.get(team, 0) - 1
+
     def wait_ms(self, team: model.TeamId, now_ms: float) -> float:
         """Return when a refused team may come again."""
         bucket = self._buckets.get(team)
@@ -75,6 +83,7 @@
             teams=tuple(
                 messages.TeamSpending(team, requests)
                 for team, requests in spent.items()
+                if requests
             )
         )
 
--- a/src/pomeloward/relay/application.py
+++ b/src/pomeloward/relay/application.py
@@ -149,6 +149,8 @@
             forwarded = await self._forwarder.forward(call, trace)
             body.stop()
             if forwarded.is_error():
+                if forwarded.error.run is model.RunState.NOT_RUN:
+                    self._gate.give_back(call.team, model.now_ms())
                 await self._refuse(reply, forwarded.error, trace)
             else:
                 await self._answer(reply, forwarded.ok, trace)
--- a/src/pomeloward/relay/gate.py
+++ b/src/pomeloward/relay/gate.py
@@ -39,6 +39,11 @@
         """Refuse all requests from now on, since the host stops."""
         self._is_closed = True
 
+    def give_back(self, team: policies.Team | None, now_ms: float) -> None:
+        """Return what the rate of a team lost by a request that didn't run."""
+        if team is not None:
+            self._quotas.give_back(team.id, now_ms)
+
     def admit(
         self, caller: callers.Caller, now_ms: float
     ) -> expression.Result[Admission, model.Refusal]:
--- a/tests/quota/test_quotas.py
+++ b/tests/quota/test_quotas.py
@@ -141,3 +141,29 @@
     host = quota.Quotas(True)
     host.configure([_team(0.0, 0.0)], 0.0)
     assert all(host.take(_TEAM, 1.0) for _ in range(1_000))
+
+
+def test_request_that_has_not_run_costs_no_token():
+    """Refusals for want of a slot used up the rate of small teams."""
+    first, second = quota.Quotas(True), quota.Quotas(True)
+    for host in (first, second):
+        host.configure([_team(2.0, 5.0)], 0.0)
+    while first.take(_TEAM, 0.0):
+        pass
+    second.received(first.report(), 0.0)
+    assert not second.take(_TEAM, 0.0)
+    first.give_back(_TEAM, 0.0)
+    second.received(first.report(), 0.0)
+    assert second.take(_TEAM, 0.0)
+    assert first.take(_TEAM, 0.0)
+
+
+def test_tokens_given_back_do_not_exceed_the_burst():
+    host = quota.Quotas(True)
+    host.configure([_team(2.0, 5.0)], 0.0)
+    for _ in range(50):
+        host.give_back(_TEAM, 0.0)
+    taken = 0
+    while host.take(_TEAM, 0.0):
+        taken += 1
+    assert taken <= 5
