Hold callers to the head and idle limits of the configuration

Change: the idle timer takes both limits from the newest configuration. A head that is late gets 408, which is true: it has not run. A limit that shrinks holds from the next wait on, one that grows at once. The check of tests/entry/test_server.py that such a connection is closed without a word is replaced by a stricter one: 408 with its kind, then closed. Ruled out: closing at four fifths of the limit, up to which callers reuse connections.

--- a/src/pomeloward/edge/listener.py
+++ b/src/pomeloward/edge/listener.py
@@ -1,6 +1,7 @@
 """Accepts HTTP connections in the host's loop."""
 
 import asyncio
+import collections.abc
 import typing
 
 from hypercorn import utils
@@ -13,9 +14,7 @@
 _BACKLOG = 1_024
 # More requests per connection than any caller sends.
 _REQUESTS_PER_CONNECTION = 2**62
-# Longer than the idle timeout of any configuration; callers stay below
-# theirs, so that they close first.
-_KEEP_ALIVE_S = 120.0
+_NO_TIMES = entry.CallerTimes()
 
 
 class Listener:
@@ -27,7 +26,11 @@
         endpoint: settings.Endpoint,
         max_connections: int,
         header_bytes: int,
+        times: collections.abc.Callable[[], entry.CallerTimes] = lambda: (
+            _NO_TIMES
+        ),
     ) -> None:
+        self._times = times
         self._endpoint = endpoint
         self._max_connections = max_connections
         self._config = _config(header_bytes)
@@ -70,7 +73,12 @@
             writer.transport.abort()
             return
         connection = entry.Connection(
-            self._app, self._config, self._context, reader, writer
+            self._app,
+            self._config,
+            self._context,
+            reader,
+            writer,
+            self._times,
         )
         self._open.add(connection)
         try:
@@ -86,6 +94,5 @@
     config.include_server_header = False
     config.include_date_header = False
     config.h11_max_incomplete_size = header_bytes
-    config.keep_alive_timeout = _KEEP_ALIVE_S
     config.keep_alive_max_requests = _REQUESTS_PER_CONNECTION
     return config
--- a/src/pomeloward/edge/node.py
+++ b/src/pomeloward/edge/node.py
@@ -128,6 +128,7 @@
             given.callers,
             int(given.descriptors * _CALLER_CONNECTIONS_RATIO),
             _HEAD_BYTES,
+            parts.caller_times,
         )
         return (
             callers,
--- a/src/pomeloward/edge/parts.py
+++ b/src/pomeloward/edge/parts.py
@@ -5,6 +5,7 @@
 
 from pomeloward import balance
 from pomeloward import dispatch
+from pomeloward import entry
 from pomeloward import fleet
 from pomeloward import model
 from pomeloward import observe
@@ -104,6 +105,16 @@
         self.metrics.gauge("pomeloward_open_requests", lambda: self.open.count)
         self.metrics.gauge("pomeloward_waiting", self.placement.waiting)
 
+    def caller_times(self) -> entry.CallerTimes:
+        """Return how long callers may take, by the newest configuration."""
+        index = self._gate.index
+        if index is None:
+            return entry.CallerTimes()
+        limits = index.policy.limits
+        return entry.CallerTimes(
+            idle_s=limits.idle_ms / 1_000, head_s=limits.head_ms / 1_000
+        )
+
     def close(self) -> None:
         """Refuse new requests from now on."""
         self._gate.close()
--- a/src/pomeloward/entry/__init__.py
+++ b/src/pomeloward/entry/__init__.py
@@ -5,6 +5,7 @@
 from pomeloward.entry.body import BodyTooLarge as BodyTooLarge
 from pomeloward.entry.body import CallerGone as CallerGone
 from pomeloward.entry.body import RequestBody as RequestBody
+from pomeloward.entry.callertimes import CallerTimes as CallerTimes
 from pomeloward.entry.connection import Connection as Connection
 from pomeloward.entry.gatekeeper import Gatekeeper as Gatekeeper
 from pomeloward.entry.handler import Handler as Handler
--- a/src/pomeloward/entry/connection.py
+++ b/src/pomeloward/entry/connection.py
@@ -4,6 +4,7 @@
 import typing
 
 from hypercorn import config as configs
+from hypercorn import events
 from hypercorn import protocol
 from hypercorn import typing as hypercorn_typing
 from hypercorn import utils
@@ -14,9 +15,12 @@
 from pomeloward.entry import idletimer
 from pomeloward.entry import refusingprotocol
 
+# hypercorn's own size of a read.
+_READ_BYTES = 65_536
+
 
 class Connection(tcp_server.TCPServer):  # type: ignore[misc]
-    """hypercorn's connection with a cheaper wait between requests."""
+    """hypercorn's connection with bounds on waits for a request."""
 
     def __init__(
         self,
@@ -25,10 +29,11 @@
         context: worker_context.WorkerContext,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        times: idletimer.Times,
     ) -> None:
         loop = asyncio.get_running_loop()
         super().__init__(app, loop, config, context, {}, reader, writer)
-        self.idle_task = idletimer.IdleTimer(config.keep_alive_timeout)
+        self.idle_task = idletimer.IdleTimer(times)
 
     async def run(self) -> None:
         """Serve until the connection ends."""
@@ -76,5 +81,20 @@
         """End the connection at once."""
         self.writer.transport.abort()
 
+    async def _read_data(self) -> None:
+        while not self.reader.at_eof():
+            data = await self.reader.read(_READ_BYTES)
+            if data:
+                self.idle_task.begin_head(self._head_timeout)
+            await self.protocol.handle(events.RawData(data))
+        await self.protocol.handle(events.Closed())
+
     async def _idle_timeout(self) -> None:
         await self._initiate_server_close()
+
+    async def _head_timeout(self) -> None:
+        """Tell a caller whose head is late, and close."""
+        protocol_ = self.protocol.protocol
+        if isinstance(protocol_, refusingprotocol.RefusingProtocol):
+            await protocol_.refuse_late_head()
+        await self._initiate_server_close()
--- a/src/pomeloward/entry/server.py
+++ b/src/pomeloward/entry/server.py
@@ -11,6 +11,7 @@
 from pomeloward import model
 from pomeloward import settings
 from pomeloward.entry import application
+from pomeloward.entry import callertimes
 from pomeloward.entry import connection as connections
 from pomeloward.entry import exchange as exchanges
 
@@ -34,6 +35,8 @@
     ) -> None:
         self._settings = host_settings
         self._config = _config(host_settings)
+        idle_s = self._config.keep_alive_timeout
+        self._times = callertimes.CallerTimes(idle_s, idle_s)
         self._app = utils.wrap_app(app, 0, "asgi")
         self._context = worker_context.WorkerContext(None)
         self._open: dict[connections.Connection, None] = {}
@@ -72,7 +75,12 @@
             await _refuse(writer)
             return
         connection = connections.Connection(
-            self._app, self._config, self._context, reader, writer
+            self._app,
+            self._config,
+            self._context,
+            reader,
+            writer,
+            lambda: self._times,
         )
         self._open[connection] = None
         try:
--- a/src/pomeloward/model/answerrule.py
+++ b/src/pomeloward/model/answerrule.py
@@ -25,6 +25,7 @@
 
 ANSWER_RULES: dict[errorkind.ErrorKind, AnswerRule] = {
     _KIND.BAD_REQUEST: AnswerRule(400, _NOT_RUN, False),
+    _KIND.HEAD_TIMEOUT: AnswerRule(408, _NOT_RUN, False),
     _KIND.HEADERS_TOO_LARGE: AnswerRule(431, _NOT_RUN, False),
     _KIND.BODY_TOO_LARGE: AnswerRule(413, _NOT_RUN, False),
     _KIND.KEY_MISSING: AnswerRule(401, _NOT_RUN, False),
--- a/src/pomeloward/model/errorkind.py
+++ b/src/pomeloward/model/errorkind.py
@@ -7,6 +7,7 @@
     """Every kind of refusal that a caller can get."""
 
     BAD_REQUEST = "bad_request"
+    HEAD_TIMEOUT = "head_timeout"
     HEADERS_TOO_LARGE = "headers_too_large"
     BODY_TOO_LARGE = "body_too_large"
     KEY_MISSING = "key_missing"
--- a/src/pomeloward/platform/configuration.py
+++ b/src/pomeloward/platform/configuration.py
@@ -8,6 +8,8 @@
 from pomeloward import policy as policies
 
 _Row = typing.TypeVar("_Row")
+# Longer than callers keep a connection that they still use.
+_DEFAULT_WAIT_S = 120.0
 
 
 class _Columns(msgspec.Struct):
@@ -59,6 +61,10 @@
 class _Limits(msgspec.Struct, rename="kebab"):
     max_header_bytes: int = 16_384
     max_body_bytes: int = 67_108_864
+    # From the first byte of a request's head to its last one.
+    header_timeout_s: float = _DEFAULT_WAIT_S
+    # Between two requests on a connection.
+    idle_timeout_s: float = _DEFAULT_WAIT_S
 
 
 class _Configuration(msgspec.Struct, rename="kebab"):
@@ -89,6 +95,8 @@
             limits=policies.CallerLimits(
                 header_bytes=found.limits.max_header_bytes,
                 body_bytes=found.limits.max_body_bytes,
+                head_ms=found.limits.header_timeout_s * 1_000,
+                idle_ms=found.limits.idle_timeout_s * 1_000,
             ),
         )
     except (
--- a/tests/entry/test_server.py
+++ b/tests/entry/test_server.py
@@ -63,6 +63,10 @@
         silent = await anyio.connect_tcp("127.0.0.1", host.port)
         slow = await anyio.connect_tcp("127.0.0.1", host.port)
         await slow.send(b"GET /read HTTP/1.1\r\nHost: a\r\n")
+        with anyio.fail_after(2):
+            answer = await slow.receive()
+        assert answer.startswith(b"HTTP/1.1 408 ")
+        assert b'"head_timeout"' in answer
         for stream in (silent, slow):
             with anyio.fail_after(2), pytest.raises(anyio.EndOfStream):
                 await stream.receive()
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -110,3 +110,22 @@
         answer = await world.request("POST", "/order/", content=parts())
         assert answer.status_code == 413
         assert (await world.get("/safe/")).status_code == 200
+
+
+async def test_caller_that_takes_too_long_is_told_and_closed(world):
+    """Guards against callers that hold connections with half a head."""
+    limits = {"header-timeout-s": 0.2, "idle-timeout-s": 0.5}
+    async with world.running():
+        world.store.put("op/config", fleet.configuration(2, limits=limits))
+        await anyio.sleep(1.8)
+        address, port = world.addresses["n1"], world.ports["front"]
+        slow = await anyio.connect_tcp(address, port)
+        idle = await anyio.connect_tcp(address, port)
+        await slow.send(b"GET /safe/ HTTP/1.1\r\nHost: a\r\n")
+        with anyio.fail_after(1):
+            answer = await slow.receive()
+        assert answer.startswith(b"HTTP/1.1 408 ")
+        for stream in (slow, idle):
+            with anyio.fail_after(1), pytest.raises(anyio.EndOfStream):
+                await stream.receive()
+            await stream.aclose()
