Keep the log lines of earlier tests out of a test's own

Measured: tests/platform/test_failures.py with test_logs.py: 1 failed, 20 passed before, 21 passed after. Conclusion: a fault of the tests, not of the host.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,13 @@
 """Fixtures of all tests."""
 
+import eliot
 import pytest
 import trio
 
+# eliot keeps up to a thousand messages until there is a destination, and
+# gives them to the first one: a test would read those of earlier tests.
+eliot.add_destinations(lambda message: None)
+
 
 @pytest.fixture
 def anyio_backend():
