Tell hosts of other zones which targets to avoid

Change: an active host reports the doubtful targets of its own zone to the active hosts of the others, each 450 ms while there are some; the word holds for 1.35 s and only for targets of the sender's zone. Ruled out: sharing verdicts on all targets: a host whose path to a zone is cut would take its targets from everybody. Conclusion: the zone that sees a target judges it.

--- a/src/pomeloward/balance/balancer.py
+++ b/src/pomeloward/balance/balancer.py
@@ -20,6 +20,11 @@
 # backup attempts take.
 _SPARE_RATIO = 0.5
 
+# Time between two reports of doubtful targets to hosts of other zones.
+REPORT_MS = 450.0
+# A report holds until two more have been missed.
+_REPORT_LIFE_MS = 3 * REPORT_MS
+
 OnChange = collections.abc.Callable[[replica.Target, str, bool], None]
 
 
@@ -28,7 +33,8 @@
 
     Requests stay in the host's availability zone while a target there has a
     free slot. Requests that can be repeated try targets that were silent or
-    idle; the others go to targets that have just answered. A cold target
+    idle; the others go to targets that have just answered. A target of
+    another zone that its own hosts doubt is doubtful here too. A cold target
     gets at most its rate, and only from the hosts of its zone.
 
     Example::
@@ -137,6 +143,34 @@
         found = self._services.get(service, {}).get(target)
         return found.target if found is not None else None
 
+    def doubtful(self, now_ms: float) -> tuple[model.TargetId, ...]:
+        """Return the targets of this zone that this host's runs doubt."""
+        return tuple(
+            one.target.id
+            for records_ in self._services.values()
+            for one in records_.values()
+            if one.target.zone == self._zone and one.health.is_doubtful(now_ms)
+        )
+
+    def take_report(
+        self,
+        zone: model.ZoneId,
+        reported: collections.abc.Collection[model.TargetId],
+        now_ms: float,
+    ) -> None:
+        """Take what a host of another zone says of the targets there.
+
+        Its word holds for targets of its own zone only, of which it sees
+        most requests; a host whose own path to this zone is cut would doubt
+        all targets here.
+        """
+        if zone == self._zone:
+            return
+        for records_ in self._services.values():
+            for one in records_.values():
+                if one.target.zone == zone and one.target.id in reported:
+                    one.reported_until_ms = now_ms + _REPORT_LIFE_MS
+
     def start(
         self,
         service: model.ServiceId,
--- a/src/pomeloward/balance/choice.py
+++ b/src/pomeloward/balance/choice.py
@@ -41,13 +41,13 @@
     """
     if not free:
         return None, ""
-    is_sound = any(not one.health.is_doubtful(now_ms) for one in usable)
+    is_sound = any(not one.is_doubtful(now_ms) for one in usable)
     if not is_sound:
         return min(free, key=lambda one: _score(one, now_ms)), "doubtful"
     trial = _trial(free, zone, trials, now_ms)
     if trial is not None:
         return trial, "trial"
-    sound = [one for one in free if not one.health.is_doubtful(now_ms)]
+    sound = [one for one in free if not one.is_doubtful(now_ms)]
     near = [one for one in sound if one.target.zone == zone]
     best = min(
         near or sound, key=lambda one: _score(one, now_ms), default=None
--- a/src/pomeloward/edge/sharing.py
+++ b/src/pomeloward/edge/sharing.py
@@ -32,7 +32,9 @@
         self._balancer = balancer
         self._bounds = bounds
         self._shares = quota.Shares(roster.own.zone)
+        self._reported_ms = float("-inf")
         peers.handle(quota.Spending, self._on_spending)
+        peers.handle(balance.DoubtfulTargets, self._on_doubtful)
 
     async def run(self) -> None:
         """Exchange until cancelled."""
@@ -59,6 +61,8 @@
             for one in everywhere:
                 if one.host != own:
                     self._peers.tell(one.host, spending)
+        if is_active:
+            self._report_doubtful(everywhere, now_ms)
         bounds = self._bounds()
         hosts = max(len(everywhere), roster.zone_count)
         self._budgets.configure(bounds.retry_ratio, bounds.retry_slack, hosts)
@@ -66,6 +70,30 @@
             is_active, len(near), self._stands_in_for(now_ms)
         )
 
+    def _report_doubtful(
+        self,
+        everywhere: collections.abc.Iterable[fleet.Member],
+        now_ms: float,
+    ) -> None:
+        """Tell the active hosts of other zones which targets to avoid."""
+        if now_ms - self._reported_ms < balance.REPORT_MS:
+            return
+        doubtful = self._balancer.doubtful(now_ms)
+        if not doubtful:
+            return
+        self._reported_ms = now_ms
+        for one in everywhere:
+            if one.zone != self._roster.own.zone:
+                report = balance.DoubtfulTargets(targets=doubtful)
+                self._peers.tell(one.host, report)
+
+    def _on_doubtful(
+        self, host: model.HostId, message: peer.Message, now_ms: float
+    ) -> None:
+        zone = self._roster.zone_of(host)
+        if isinstance(message, balance.DoubtfulTargets) and zone is not None:
+            self._balancer.take_report(zone, set(message.targets), now_ms)
+
     def _stands_in_for(self, now_ms: float) -> frozenset[model.ZoneId]:
         """Return the zones without hosts whose cold targets we pace.
 
--- a/tests/balance/test_balancer.py
+++ b/tests/balance/test_balancer.py
@@ -124,6 +124,42 @@
     assert made.start(world.SERVICE, _ROUTE, (), False, 10.0) is None
 
 
+def test_order_avoids_a_far_target_that_its_own_zone_doubts():
+    """Orders that found their zone full met targets that hung for others."""
+    made = world.balancer([world.target(f"f{n}", world.FAR) for n in (1, 2)])
+    made.take_report(world.FAR, {"f1"}, 0.0)
+    for now_ms in range(0, 1_000, 100):
+        run = made.start(world.SERVICE, _ROUTE, (), False, now_ms)
+        assert run.target == "f2"
+        made.end(run, _OK, now_ms + 50, _ROUTE)
+
+
+def test_report_of_a_far_target_ends():
+    made = world.balancer([world.target(f"f{n}", world.FAR) for n in (1, 2)])
+    made.take_report(world.FAR, {"f1"}, 0.0)
+    runs = [
+        made.start(world.SERVICE, _ROUTE, (), False, 3_000.0) for _ in range(4)
+    ]
+    assert {run.target for run in runs} == {"f1", "f2"}
+
+
+def test_hosts_of_another_zone_do_not_judge_near_targets():
+    """A host whose path to this zone is cut doubts all targets here."""
+    made = world.balancer([world.target("n1"), world.target("n2")])
+    made.take_report(world.FAR, {"n1", "n2"}, 0.0)
+    made.take_report(world.NEAR, {"n1", "n2"}, 0.0)
+    run = made.start(world.SERVICE, _ROUTE, (), False, 10.0)
+    assert run.reason == "near"
+
+
+def test_only_targets_of_the_own_zone_are_reported():
+    made = world.balancer([world.target("n1"), world.target("f1", world.FAR)])
+    for other in ("f1", "n1"):
+        run = made.start(world.SERVICE, _ROUTE, {other}, False, 0.0)
+        made.end(run, balance.Ending.SILENT, 10.0, _ROUTE)
+    assert made.doubtful(20.0) == ("n1",)
+
+
 def test_idle_target_is_tried_by_a_repeatable_request():
     """A joined target has to get requests; an idle one may have hung."""
     made = world.balancer([world.target("n1"), world.target("n2")])
