Divide the slots of a zone's targets among its active hosts

Change: an active host uses its part of the slots of near targets, rounded up. Ruled out: reports of used slots to other zones: in a model of three zones, one above its slots at 85% of all, 70% of the answers met their objective, and all of them without the reports (a zone can't see another's free slots 0.45 s later).

--- a/src/pomeloward/balance/balancer.py
+++ b/src/pomeloward/balance/balancer.py
@@ -1,6 +1,7 @@
 """Chooses the target of each request."""
 
 import collections.abc
+import math
 import random
 
 from pomeloward import model
@@ -243,9 +244,11 @@
         if now_ms < health.shed_until_ms:
             return False
         is_near = target.zone == self._zone
-        allowed = target.slots
-        if not is_near:
-            allowed = max(1, allowed - _SLOTS_LEFT_REMOTE)
+        if is_near:
+            # The active hosts of a zone divide the slots of its targets.
+            allowed = math.ceil(target.slots / self._zone_hosts)
+        else:
+            allowed = max(1, target.slots - _SLOTS_LEFT_REMOTE)
         if len(health.runs) >= allowed:
             return False
         if not target.is_cold and not health.may_be_cold(now_ms):
--- a/tests/balance/test_balancer.py
+++ b/tests/balance/test_balancer.py
@@ -22,6 +22,16 @@
     assert chosen == ["n1"] * 3 + ["f1"] * 2
 
 
+def test_hosts_of_a_zone_divide_the_slots_of_its_targets():
+    """Two hosts with two runs each queued at targets of two slots."""
+    made = world.balancer([world.target("n1"), world.target("n2", slots=2)])
+    made.set_hosts(True, 2, frozenset())
+    chosen = []
+    while run := made.start(world.SERVICE, _ROUTE, (), False, 0.0):
+        chosen.append(run.target)
+    assert sorted(chosen) == ["n1", "n1", "n2"]
+
+
 def test_silent_target_gets_no_more_before_any_answer_failed():
     """A hang that health checks don't show costs orders outright."""
     made = world.balancer([world.target("n1"), world.target("n2")])
