Send callers away from a host that has turned slow

Cause: callers of a zone meet on one host. Change: a host whose timers come 40 ms late on average over half a second offers a tenth of its capacity for 15 s; the order of the zone's hosts and so the address answer, the leaders and the reader's turn follow. Ruled out: latency of requests as the sign, which slow targets raise as well. Conclusion: a fault of our own hosts is treated as those of targets are.

--- a/src/pomeloward/edge/node.py
+++ b/src/pomeloward/edge/node.py
@@ -15,7 +15,10 @@
 from pomeloward import relay
 from pomeloward import replica
 from pomeloward import settings
+from pomeloward.edge import capacity
+from pomeloward.edge import lag as lags
 from pomeloward.edge import listener as listeners
+from pomeloward.edge import load as loads
 from pomeloward.edge import pages
 from pomeloward.edge import parts as parts_
 from pomeloward.edge import stop as stops
@@ -27,8 +30,6 @@
 _CALLER_CONNECTIONS_RATIO = 0.6
 _HEAD_BYTES = 65_536
 _TICK_S = 0.1
-# Smoothing of the load: a change shows after about a second.
-_LOAD_GAIN = 0.1
 # How often the settings file is looked at for silent changes.
 _RELOAD_S = 1.0
 
@@ -169,26 +170,47 @@
             tasks.cancel_scope.cancel()
 
     async def _serve_until_stopped(self, parts: parts_.Parts) -> None:
-        started_before = 0
-        load_per_s = 0.0
+        load = loads.Load()
+        lag = lags.Lag(model.now_ms())
         while True:
+            began_ms = model.now_ms()
             await anyio.sleep(_TICK_S)
+            now_ms = model.now_ms()
             _become_ready(parts)
-            started = parts.open.started - started_before
-            started_before = parts.open.started
-            load_per_s += _LOAD_GAIN * (started / _TICK_S - load_per_s)
-            parts.roster.own = msgspec.structs.replace(
-                parts.roster.own, load_per_s=int(load_per_s)
-            )
+            load.observe(parts.open.started, _TICK_S)
+            lag.observe(now_ms - began_ms - _TICK_S * 1_000, now_ms)
+            self._offer(parts, load, lag, now_ms)
             if self._stop is None:
                 continue
-            now_ms = model.now_ms()
             if self._stop.refuses_new(now_ms):
                 parts.close()
             is_idle = parts.open.is_idle(stops.QUIET_MS, now_ms)
             if self._stop.is_over(is_idle, now_ms):
                 return
 
+    def _offer(
+        self,
+        parts: parts_.Parts,
+        load: loads.Load,
+        lag: lags.Lag,
+        now_ms: float,
+    ) -> None:
+        """Let the fleet know this host's load and what it can carry."""
+        own = parts.roster.own
+        is_slow = lag.is_slow(now_ms)
+        offered_per_s = capacity.capacity_per_s(self._settings, is_slow)
+        parts.roster.own = msgspec.structs.replace(
+            own, load_per_s=int(load.per_s), capacity_per_s=offered_per_s
+        )
+        if offered_per_s != own.capacity_per_s:
+            eliot.log_message(
+                message_type="capacity",
+                capacity_per_s=offered_per_s,
+                is_slow=is_slow,
+                timer_late_ms=round(lag.mean_ms, 1),
+            )
+            parts.beating.send(now_ms)
+
     async def _watch_signals(self) -> None:
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -154,6 +154,19 @@
     assert world.addressed("10.1.0.0:80", "a") == [second]
 
 
+def test_host_that_turns_slow_loses_its_callers_at_once():
+    """Callers of a zone met on a host at a seventh of its speed."""
+    world = Fleet({"a": 4, "b": 4})
+    world.run(3_000)
+    (first,) = world.addressed("10.1.0.0:80", "a")
+    roster = world.rosters[first]
+    roster.own = msgspec.structs.replace(roster.own, capacity_per_s=10)
+    world.run(1_000)
+    answers = {tuple(world.addressed(h, "a")) for h in world.rosters}
+    assert len(answers) == 1
+    assert first not in answers.pop()
+
+
 def test_load_decides_how_many_hosts_are_active():
     world = Fleet({"a": 5, "b": 2})
     for host, roster in world.rosters.items():
