Play the demo on the users' platform

Change: tests/platform/demo.py plays the soak's world without random faults: a hanging server, a withdrawn key, a zone out, a new route, a graceful stop; make demo-host plays the old one.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PLANT ?=
 FIRST ?=
 
-.PHONY: demo test matrix measure capacity soak lint format
+.PHONY: demo demo-host test matrix measure capacity soak lint format
 
 $(VENV)/.installed: requirements-dev.txt requirements.txt pyproject.toml
 	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
@@ -16,6 +16,9 @@
 	touch $@
 
 demo: $(SETUP)
+	$(RUN) -m tests.platform.demo
+
+demo-host: $(SETUP)
 	$(RUN) -m bench.demo
 
 test: $(SETUP)
--- a/tests/platform/soak/world.py
+++ b/tests/platform/soak/world.py
@@ -24,6 +24,7 @@
 ZONES = ("a", "b")
 _CALLERS = 6
 _PAUSE_S = 0.05
+_LAST_CONNECTIONS_S = 0.2
 # Ten checks a second for a minute.
 _READY_CHECKS = 600
 # A tick of the loop that is this late shows that the machine ran short of
@@ -51,6 +52,7 @@
         self.version = 1
         self.keys = list(_KEYS)
         self.has_new_route = False
+        self.is_over = False
         self._plant = plant
         self._directory = directory
         self._ports = {kind: serving.steady_port() for kind in _KINDS}
@@ -77,8 +79,13 @@
                     tasks.start_soon(self._caller, number)
                 yield self
             finally:
+                self.is_over = True
                 for name in list(self.processes):
                     self.end(name)
+                # asyncio reports connections that a listener accepts while
+                # it is cancelled, as errors.
+                with anyio.CancelScope(shield=True):
+                    await anyio.sleep(_LAST_CONNECTIONS_S)
                 tasks.cancel_scope.cancel()
 
     def publish(self):
@@ -190,7 +197,7 @@
         zone = ZONES[number % 2]
         async with httpx.AsyncClient(trust_env=False, timeout=4.0) as client:
             addresses, until_s = [], 0.0
-            while True:
+            while not self.is_over:
                 await anyio.sleep(self.rng.uniform(0, 2 * _PAUSE_S))
                 if anyio.current_time() >= until_s:
                     found = await self._resolve(client, zone)
