Name the settings that need a restart

Cause: a settings file that changed another field than seeds and bounds was logged as reloaded, though a new store address, say, was not in use. Change: the line of a reload names the changed fields and those that wait for a restart.

--- a/src/pomeloward/edge/node.py
+++ b/src/pomeloward/edge/node.py
@@ -32,6 +32,10 @@
 _TICK_S = 0.1
 # How often the settings file is looked at for silent changes.
 _RELOAD_S = 1.0
+# Fields that take effect without a restart.
+_RELOADED = frozenset(
+    {"seeds", "bounds", "cores", "link_mbps", "is_first_start"}
+)
 
 LoadSettings = collections.abc.Callable[[], settings.EdgeSettings]
 Loop = collections.abc.Callable[
@@ -237,9 +241,14 @@
             return
         if found == self._settings or self._parts is None:
             return
+        changed = found.changed_from(self._settings)
         self._settings = found
         self._parts.roster.set_seeds(found.seeds)
-        eliot.log_message(message_type="reload", seeds=list(found.seeds))
+        eliot.log_message(
+            message_type="reload",
+            changed=changed,
+            needs_restart=[one for one in changed if one not in _RELOADED],
+        )
 
 
 def _become_ready(parts: parts_.Parts) -> None:
--- a/src/pomeloward/settings/edge.py
+++ b/src/pomeloward/settings/edge.py
@@ -52,3 +52,11 @@
     link_mbps: float
     descriptors: int
     bounds: Bounds = Bounds()
+
+    def changed_from(self, known: "EdgeSettings") -> list[str]:
+        """Return the names of the fields that differ."""
+        return [
+            field.name
+            for field in dataclasses.fields(self)
+            if getattr(self, field.name) != getattr(known, field.name)
+        ]
--- a/tests/platform/test_logs.py
+++ b/tests/platform/test_logs.py
@@ -81,4 +81,21 @@
             await anyio.sleep(1.3)
             assert (await world.get("/safe/")).status_code == 200
     assert _of_type(lines, "reload:rejected")
-    assert len(_of_type(lines, "reload")) == 1
+    (reload,) = _of_type(lines, "reload")
+    assert reload["changed"] == ["is_first_start"]
+    assert reload["needs_restart"] == []
+
+
+async def test_settings_that_need_a_restart_are_named(world):
+    """A changed store address was taken for one in use."""
+    with _lines() as lines:
+        async with world.running():
+            path = world.settings_path("n1")
+            changed = path.read_text().replace(
+                '[platform]\naddress = "127.0.0.1:',
+                '[platform]\naddress = "127.0.0.2:',
+            )
+            path.write_text(changed)
+            await anyio.sleep(1.3)
+    (reload,) = _of_type(lines, "reload")
+    assert reload["needs_restart"] == ["store"]
