End the request of a caller that resets its connection quietly

Change: a reset ends the reading as a close does. Measured: tests/platform/test_path.py fails before (asyncio logs the error) and passes after.

--- a/src/pomeloward/entry/connection.py
+++ b/src/pomeloward/entry/connection.py
@@ -83,7 +83,11 @@
 
     async def _read_data(self) -> None:
         while not self.reader.at_eof():
-            data = await self.reader.read(_READ_BYTES)
+            try:
+                data = await self.reader.read(_READ_BYTES)
+            except OSError:
+                # A reset ends the open request as a close does.
+                break
             if data:
                 self.idle_task.begin_head(self._head_timeout)
             await self.protocol.handle(events.RawData(data))
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -1,6 +1,10 @@
 """Tests of the whole path from a caller to a server and back."""
 
+import socket
+import struct
+
 import anyio
+import anyio.abc
 import pytest
 
 from tests.platform import fleet
@@ -9,6 +13,15 @@
 pytestmark = pytest.mark.anyio
 
 
+async def _until(check):
+    """Wait until a condition holds, for two seconds at most."""
+    with anyio.fail_after(2):
+        while True:
+            if check():
+                return
+            await anyio.sleep(0.01)
+
+
 async def test_answer_reaches_its_caller_whole(world):
     async with world.running():
         answer = await world.request("POST", "/order/x?q=1", content=b"body")
@@ -129,3 +142,25 @@
             with anyio.fail_after(1), pytest.raises(anyio.EndOfStream):
                 await stream.receive()
             await stream.aclose()
+
+
+async def test_caller_that_resets_its_connection_ends_its_request(
+    world, caplog
+):
+    """The reset came out of the connection's task as an unhandled error."""
+    async with world.running(names=("s1",)):
+        server = world.servers["s1"]
+        server.behave = servers.hang
+        stream = await anyio.connect_tcp(
+            world.addresses["n1"], world.ports["front"]
+        )
+        head = f"GET /open/ HTTP/1.1\r\nHost: {fleet.HOST}\r\n"
+        await stream.send(f"{head}X-Request-Id: q\r\n\r\n".encode())
+        await _until(lambda: server.open)
+        linger = struct.pack("ii", 1, 0)
+        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        await stream.aclose()
+        await _until(lambda: not server.open)
+        await anyio.sleep(0.1)
+    assert not [one for one in caplog.records if one.name == "asyncio"]
