Keep a host alive that has its first state from a peer's news

Change: the age is unknown until a reading or a peer tells it; the beat then says so, as for a host without a configuration. Ruled out: load: the traceback in the logs of both hosts names the line.

--- a/src/pomeloward/edge/parts.py
+++ b/src/pomeloward/edge/parts.py
@@ -139,9 +139,10 @@
         self._balancer.configure_policy(policy.services)
 
     def _status(self, at_ms: float) -> tuple[int, int]:
-        if self.replica.policy is None:
+        age_ms = self._turn.age_ms(at_ms)
+        if self.replica.policy is None or age_ms is None:
             return self.replica.digest, -1
-        return self.replica.digest, int(at_ms - self._turn.fresh_at_ms)
+        return self.replica.digest, int(age_ms)
 
     def _on_beat(
         self, host: model.HostId, beat: fleet.Beat, at_ms: float
--- a/src/pomeloward/replica/turn.py
+++ b/src/pomeloward/replica/turn.py
@@ -1,5 +1,7 @@
 """Decides when a host reads the platform's store itself."""
 
+import math
+
 # A drained target must get nothing new 2 s after the store took the report;
 # two readings at this interval leave time for one that is lost.
 POLL_MS = 700.0
@@ -32,6 +34,16 @@
         self._next_ms = now_ms
         self._failures = 0
 
+    def age_ms(self, now_ms: float) -> float | None:
+        """Return the age of the newest known state, None if not known.
+
+        A host may get a state from a peer's news before any host has told it
+        how old that state is.
+        """
+        if math.isinf(self.fresh_at_ms):
+            return None
+        return now_ms - self.fresh_at_ms
+
     def heard_of(self, fresh_at_ms: float) -> None:
         """Take from a peer how new its state of the store is."""
         self.fresh_at_ms = max(self.fresh_at_ms, fresh_at_ms)
--- a/tests/replica/test_turn.py
+++ b/tests/replica/test_turn.py
@@ -41,3 +41,11 @@
     last = replica.Turn(0.0)
     assert not last.is_due(1e6, replica.turn.READERS_PER_ZONE)
     assert last.is_due(1e6, replica.turn.READERS_PER_ZONE, has_peers=False)
+
+
+def test_age_is_unknown_until_a_reading_or_a_peer_tells_it():
+    """A host that had its first state from a peer's news ended by itself."""
+    made = replica.Turn(0.0)
+    assert made.age_ms(500.0) is None
+    made.heard_of(200.0)
+    assert made.age_ms(500.0) == 300.0
