Serve pipelined requests side by side

Cause: hypercorn reads the next request of a connection only after the response to the one before, so that a slow look-up spends the objective of those behind it, and a caller who leaves isn't noticed meanwhile.

Change: up to eight requests of a connection are open at a time, with the responses in order.

Ruled out: slots of targets; the look-ups waited with free slots.

--- a/src/pomeloward/edge/httplistener.py
+++ b/src/pomeloward/edge/httplistener.py
@@ -15,6 +15,9 @@
 # hypercorn closes a connection after this many requests; no caller sends as
 # many.
 _MAX_REQUESTS_PER_CONNECTION = 2**62
+# Requests of one connection that are served side by side. Each may hold a
+# response of up to 256 kB until the earlier ones are answered.
+_MAX_PIPELINED_REQUESTS = 8
 _DEFAULT_TIMEOUTS = entry.CallerTimes()
 
 
@@ -88,6 +91,7 @@
             reader,
             writer,
             self._caller_timeouts,
+            _MAX_PIPELINED_REQUESTS,
         )
         self._open_connections.add(connection)
         try:
--- a/src/pomeloward/entry/__init__.py
+++ b/src/pomeloward/entry/__init__.py
@@ -20,6 +20,8 @@
 from pomeloward.entry.steps import HostStatus as HostStatus
 from pomeloward.entry.steps import Orders as Orders
 from pomeloward.entry.targetrequests import NoBody as NoBody
+from pomeloward.entry.turn import Turn as Turn
+from pomeloward.entry.turn import turn_of as turn_of
 from pomeloward.entry.websocket import WebsocketHandler as WebsocketHandler
 from pomeloward.entry.websockettargets import (
     WebsocketTargets as WebsocketTargets,
--- a/src/pomeloward/entry/connection.py
+++ b/src/pomeloward/entry/connection.py
@@ -13,7 +13,7 @@
 from hypercorn.asyncio import worker_context
 
 from pomeloward.entry import idletimer
-from pomeloward.entry import refusingprotocol
+from pomeloward.entry import pipeliningprotocol
 
 # hypercorn's own size of a read.
 _READ_BYTES = 65_536
@@ -30,10 +30,13 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         times: idletimer.Times,
+        max_open_requests: int = 1,
     ) -> None:
+        """Serve up to ``max_open_requests`` of the caller at a time."""
         loop = asyncio.get_running_loop()
         super().__init__(app, loop, config, context, {}, reader, writer)
         self.idle_task = idletimer.IdleTimer(times)
+        self._max_open_requests = max_open_requests
 
     async def run(self) -> None:
         """Serve until the connection ends."""
@@ -61,8 +64,8 @@
                 self.protocol = protocol.ProtocolWrapper(
                     *arguments, "http/1.1"
                 )
-                self.protocol.protocol = refusingprotocol.RefusingProtocol(
-                    *arguments
+                self.protocol.protocol = pipeliningprotocol.PipeliningProtocol(
+                    arguments, self._max_open_requests
                 )
                 await self.protocol.initiate()
                 await self.idle_task.restart(tasks, self._idle_timeout)
@@ -99,6 +102,6 @@
     async def _head_timeout(self) -> None:
         """Tell a caller whose head is late, and close."""
         protocol_ = self.protocol.protocol
-        if isinstance(protocol_, refusingprotocol.RefusingProtocol):
+        if isinstance(protocol_, pipeliningprotocol.PipeliningProtocol):
             await protocol_.refuse_late_head()
         await self._initiate_server_close()
--- a/src/pomeloward/relay/application.py
+++ b/src/pomeloward/relay/application.py
@@ -6,6 +6,7 @@
 
 import anyio
 import eliot
+import expression
 
 from pomeloward import dispatch
 from pomeloward import entry
@@ -147,7 +148,7 @@
             return
         request = _make_admitted_request(head, admitted.ok, body, log_entry)
         await self._forward_while_connected(
-            request, body, receive, writer, log_entry
+            request, body, receive, writer, log_entry, entry.turn_of(scope)
         )
 
     async def _forward_while_connected(
@@ -157,6 +158,7 @@
         receive: Receive,
         writer: responsewriter.ResponseWriter,
         log_entry: requestlogentry.RequestLogEntry,
+        turn: entry.Turn,
     ) -> None:
         """Forward a request and respond; stop if the caller disconnects."""
         await body.preload()
@@ -173,7 +175,7 @@
                         return
 
             tasks.start_soon(cancel_on_disconnect)
-            forwarded = await self._forwarder.forward(request, log_entry)
+            forwarded = await self._forward_in_turn(request, turn, log_entry)
             body.stop()
             if forwarded.is_error():
                 if forwarded.error.run_state is model.RunState.NOT_RUN:
@@ -185,6 +187,28 @@
                 await self._respond(writer, forwarded.ok, log_entry)
             tasks.cancel_scope.cancel()
 
+    async def _forward_in_turn(
+        self,
+        request: admittedrequest.AdmittedRequest,
+        turn: entry.Turn,
+        log_entry: requestlogentry.RequestLogEntry,
+    ) -> forwarders.ForwardResult:
+        """Forward a request; one that can't be repeated waits for its turn.
+
+        Its caller sends it again if the connection ends before.
+        """
+        if not request.can_repeat and not turn.has_come:
+            with anyio.CancelScope(deadline=request.deadline_ms / 1_000):
+                await turn.wait()
+            if not turn.has_come:
+                return expression.Error(
+                    model.Refusal(
+                        model.ErrorKind.QUEUE_TIMEOUT,
+                        "earlier requests of the connection are still open",
+                    )
+                )
+        return await self._forwarder.forward(request, log_entry)
+
     async def _respond(
         self,
         writer: responsewriter.ResponseWriter,
