End answers without end at the deadline of the request

Cause: a body over 256 kB was passed on without a bound in time, and its attempt counted as good after the first 256 kB; the body of a refusal was read to its end before another target was asked.

Change: the rest of a long body ends at the request's deadline, the target then counts as failing and its slot is held until the body ends; a refusal's body is read for 50 ms at most; responses that nobody reads are closed.

Ruled out: heads, interim answers, trailers, chunk extensions and junk without end were bounded before; their tests pass on as well. An order behind interim answers without end keeps its slot until the deadline: the target may still answer, so ending it sooner would give up work that runs.

Two tests of the forwarder show that a slow or failed order gets no second attempt.

--- a/src/pomeloward/entry/pipelinedrequest.py
+++ b/src/pomeloward/entry/pipelinedrequest.py
@@ -34,9 +34,10 @@
 class PipelinedRequest(refusingprotocol.RefusingProtocol):
     """Reads one request, and sends its response when its turn has come.
 
-    ``arguments`` are those of hypercorn's ``H11Protocol``. ``on_head`` takes this request and the headers of its response and
-    returns the headers to send. ``on_end`` is called after the response,
-    with whether the connection can be used for the next one.
+    ``arguments`` are those of hypercorn's ``H11Protocol``. ``on_head`` takes
+    this request and the headers of its response and returns the headers to
+    send. ``on_end`` is called after the response, with whether the connection
+    can be used for the next one.
     """
 
     def __init__(
--- a/src/pomeloward/relay/application.py
+++ b/src/pomeloward/relay/application.py
@@ -184,7 +184,10 @@
                     )
                 await self._refuse(writer, forwarded.error, log_entry)
             else:
-                await self._respond(writer, forwarded.ok, log_entry)
+                try:
+                    await self._respond(writer, forwarded.ok, log_entry)
+                finally:
+                    await forwarded.ok.aclose()
             tasks.cancel_scope.cancel()
 
     async def _forward_in_turn(
--- a/src/pomeloward/relay/forwarder.py
+++ b/src/pomeloward/relay/forwarder.py
@@ -10,6 +10,7 @@
 from pomeloward import retry
 from pomeloward.relay import admittedrequest
 from pomeloward.relay import attemptresult
+from pomeloward.relay import bodyrest
 from pomeloward.relay import forwardingstate
 from pomeloward.relay import requestlogentry
 from pomeloward.relay import slotallocator
@@ -69,6 +70,7 @@
                         state, log_entry, tasks, sender, receiver
                     )
                     tasks.cancel_scope.cancel()
+                await _close_unread(receiver)
                 return forwarded
         return self._refuse_timed_out(state)
 
@@ -105,6 +107,8 @@
                 self._start_attempt(state, attempt, log_entry, tasks, sender)
             if not state.open_count:
                 return self._conclude_failure(state, result)
+            if result.response is not None:
+                await result.response.aclose()
 
     async def _wait_for_result(
         self,
@@ -240,7 +244,8 @@
     ) -> None:
         """Run one attempt and pass its result to ``sender``.
 
-        The slot of the attempt is always released.
+        The slot of the attempt is released at its end, or at that of a long
+        body that is still being passed on.
         """
         request = state.request
         target = self._balancer.find_target(
@@ -248,6 +253,11 @@
         )
         outcome = balance.Outcome.ABANDONED
         detail = ""
+        body_rest: bodyrest.BodyRest | None = None
+
+        def release(final_outcome: balance.Outcome) -> None:
+            self._slot_allocator.release(attempt, final_outcome, request)
+
         try:
             if target is None:
                 result = attemptresult.AttemptResult(
@@ -263,6 +273,10 @@
                     request, attempt, target, state.run_evidence
                 )
             outcome, detail = result.outcome, result.detail
+            if result.response is not None:
+                body_rest = result.response.body_rest
+            if body_rest is not None:
+                body_rest.on_end = release
             sender.send_nowait(result)
         except anyio.get_cancelled_exc_class():
             if model.now_ms() >= request.deadline_ms:
@@ -274,7 +288,8 @@
                 f"{attempt.target_id} {attempt.selection_reason} "
                 f"{outcome.value} {took_ms:.0f}ms {detail}"
             )
-            self._slot_allocator.release(attempt, outcome, request)
+            if body_rest is None:
+                release(outcome)
 
     def _conclude_failure(
         self,
@@ -313,3 +328,14 @@
         return expression.Error(
             model.Refusal(kind, "the deadline of the request has passed")
         )
+
+
+async def _close_unread(receiver: _ResultReceiver) -> None:
+    """Close the responses that came after the one that is passed on."""
+    while True:
+        try:
+            result = receiver.receive_nowait()
+        except (anyio.WouldBlock, anyio.EndOfStream):
+            return
+        if result.response is not None:
+            await result.response.aclose()
--- a/src/pomeloward/relay/responsereader.py
+++ b/src/pomeloward/relay/responsereader.py
@@ -7,11 +7,15 @@
 
 from pomeloward import dispatch
 from pomeloward.relay import admittedrequest
+from pomeloward.relay import bodyrest
 from pomeloward.relay import targetresponse
 
 # Bodies up to this size are read completely before anything is passed on, so
 # that another attempt can replace a response that ends early.
 MAX_BUFFERED_BYTES = 256 * 1024
+# How long the body of a response is read that nobody needs. The proof that a
+# request has not run is complete with the head, and another target waits.
+_MAX_DISCARD_S = 0.05
 _BODILESS_STATUSES = frozenset({204, 304})
 
 
@@ -21,8 +25,11 @@
     """Return a response, completely read unless its body is large."""
     status = response.status_code
     headers = dispatch.clean(response.headers.raw)
-    body_start, body_rest = await read_up_to(response, MAX_BUFFERED_BYTES)
-    if body_rest is None:
+    body_start, chunks = await _read_up_to(response, MAX_BUFFERED_BYTES)
+    body_rest = None
+    if chunks is not None:
+        body_rest = bodyrest.BodyRest(response, chunks, request.deadline_ms)
+    else:
         await response.aclose()
         if request.method != "HEAD" and status not in _BODILESS_STATUSES:
             headers = [
@@ -34,7 +41,18 @@
     )
 
 
-async def read_up_to(
+async def discard_body(response: httpx.Response) -> None:
+    """Read a body that ends soon, so that its connection can be kept.
+
+    Otherwise the connection is closed.
+    """
+    with anyio.move_on_after(_MAX_DISCARD_S):
+        await _read_up_to(response, MAX_BUFFERED_BYTES)
+    with anyio.CancelScope(shield=True):
+        await response.aclose()
+
+
+async def _read_up_to(
     response: httpx.Response, limit_bytes: int
 ) -> tuple[bytes, collections.abc.AsyncIterator[bytes] | None]:
     """Read a body until it ends or exceeds ``limit_bytes``.
@@ -51,19 +69,5 @@
         read_chunks.append(chunk)
         read_bytes += len(chunk)
         if read_bytes > limit_bytes:
-            return b"".join(read_chunks), _iter_rest(response, chunks)
+            return b"".join(read_chunks), chunks
     return b"".join(read_chunks), None
-
-
-async def _iter_rest(
-    response: httpx.Response, chunks: collections.abc.AsyncIterator[bytes]
-) -> collections.abc.AsyncIterator[bytes]:
-    """Yield the remaining chunks of a response, then close it."""
-    try:
-        async for chunk in chunks:
-            yield chunk
-    except httpx.HTTPError as error:
-        raise dispatch.AnswerCut(type(error).__name__) from error
-    finally:
-        with anyio.CancelScope(shield=True):
-            await response.aclose()
--- a/src/pomeloward/relay/targetclient.py
+++ b/src/pomeloward/relay/targetclient.py
@@ -196,11 +196,7 @@
             model.NotRunReason.REFUSED_BY_CONTRACT, f"answered {status}"
         )
         run_evidence.prove_not_run(not_run_proof)
-        # The connection is kept only if the body is read to its end.
-        await responsereader.read_up_to(
-            response, responsereader.MAX_BUFFERED_BYTES
-        )
-        await response.aclose()
+        await responsereader.discard_body(response)
         outcome = (
             balance.Outcome.MISPLACED
             if status == _MISDIRECTED_STATUS
--- a/src/pomeloward/relay/targetresponse.py
+++ b/src/pomeloward/relay/targetresponse.py
@@ -1,9 +1,9 @@
 """Response of a target that is passed on to the caller."""
 
-import collections.abc
 import dataclasses
 
 from pomeloward import dispatch
+from pomeloward.relay import bodyrest
 
 
 @dataclasses.dataclass(slots=True)
@@ -18,4 +18,9 @@
     status: int
     headers: dispatch.Headers
     body_start: bytes
-    body_rest: collections.abc.AsyncIterator[bytes] | None = None
+    body_rest: bodyrest.BodyRest | None = None
+
+    async def aclose(self) -> None:
+        """End the response, and its connection if the body has not ended."""
+        if self.body_rest is not None:
+            await self.body_rest.aclose()
--- a/tests/relay/test_forwarder.py
+++ b/tests/relay/test_forwarder.py
@@ -29,6 +29,7 @@
     def __init__(self, delays_ms):
         self.delays_ms = delays_ms
         self.sent_target_ids = []
+        self.outcome = balance.Outcome.OK
 
     async def send(self, request, attempt, target, run_evidence):
         self.sent_target_ids.append(target.id)
@@ -36,7 +37,7 @@
         await anyio.sleep(self.delays_ms[target.id] / 1_000)
         response = targetresponse.TargetResponse(200, [], target.id.encode())
         return attemptresult.AttemptResult(
-            attempt, balance.Outcome.OK, "answered 200", response=response
+            attempt, self.outcome, "answered", response=response
         )
 
 
@@ -46,12 +47,12 @@
     The latencies differ from ``_USUAL_MS`` by up to ``spread_ms``.
     """
 
-    def __init__(self, delays_ms, spread_ms=250.0):
+    def __init__(self, delays_ms, spread_ms=250.0, is_idempotent=True):
         self.balancer = factories.make_balancer(
             [factories.make_target("n1"), factories.make_target("n2")]
         )
         self.route = factories.make_route(
-            "s", is_idempotent=True, aim_ms=_OBJECTIVE_MS
+            "s", is_idempotent=is_idempotent, aim_ms=_OBJECTIVE_MS
         )
         rng = random.Random(1)
         estimator = self.balancer.latency_estimator(self.route)
@@ -133,3 +134,31 @@
         assert len(harness.target_client.sent_target_ids) == 1
 
     _run(scenario)
+
+
+def test_slow_order_is_sent_to_one_target_only():
+    """A second attempt beside a slow first one would run the order twice."""
+
+    async def scenario():
+        harness = ForwarderHarness(
+            {"n1": 5_000.0, "n2": 5_000.0}, is_idempotent=False
+        )
+        forwarded, _ = await harness.forward()
+        assert forwarded.is_ok()
+        assert len(harness.target_client.sent_target_ids) == 1
+
+    _run(scenario)
+
+
+def test_failed_order_is_not_sent_again():
+    """The target may have run it before it failed."""
+
+    async def scenario():
+        harness = ForwarderHarness(
+            {"n1": 10.0, "n2": 10.0}, is_idempotent=False
+        )
+        harness.target_client.outcome = balance.Outcome.ERROR
+        await harness.forward()
+        assert len(harness.target_client.sent_target_ids) == 1
+
+    _run(scenario)
