Give retry budgets to hosts that callers move to only as earned

Cause: each host started with a full part of the fleet's retry slack, so that callers who moved between hosts, or a restart of all of them, brought a new full budget each time.

Change: only hosts that are active since the first start of the fleet start with a part of the slack; an inactive host keeps at most one earned retry.

Ruled out: retries without a token after an unreachable target; they reach no target.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PLANT ?=
 FIRST ?=
 
-.PHONY: demo demo-host test matrix measure capacity soak lint format
+.PHONY: demo demo-host test matrix measure capacity plants soak lint format
 
 $(VENV)/.installed: requirements-dev.txt requirements.txt pyproject.toml
 	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
@@ -46,3 +46,6 @@
 
 soak: $(SETUP)
 	$(RUN) -m tests.platform.soak --seeds $(SEEDS) $(if $(FIRST),--first $(FIRST)) $(if $(PLANT),--plant $(PLANT))
+
+plants: $(SETUP)
+	$(RUN) -m bench.plants
--- /dev/null
+++ b/bench/plants.py
@@ -0,0 +1,201 @@
+"""Plants faults one at a time and checks that the tests notice each.
+
+Every plant is an edit of a copy of the source; the tests named beside it have
+to fail there. Example::
+
+    python -m bench.plants --only order-sent-twice
+"""
+
+import argparse
+import dataclasses
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+_ROOT = pathlib.Path(__file__).parent.parent
+_COPIED = (
+    "src",
+    "tests",
+    "bench",
+    "standins",
+    "deploy",
+    "pyproject.toml",
+    "KNOWN-RED.txt",
+)
+_TIMEOUT_S = 240.0
+# Exit statuses of pytest; any other one is an error of the run itself.
+_TESTS_FAILED = 1
+_TEST_STATUSES = frozenset({0, _TESTS_FAILED})
+
+
+@dataclasses.dataclass(frozen=True)
+class Plant:
+    """A fault: ``old`` in ``path`` becomes ``new``, and ``tests`` fail."""
+
+    name: str
+    path: str
+    old: str
+    new: str
+    tests: tuple[str, ...]
+
+
+_SOURCE = "src/pomeloward/"
+_PLANTS = (
+    Plant(
+        "order-sent-twice",
+        _SOURCE + "relay/forwarder.py",
+        "request.can_repeat\n            and state.sent_count",
+        "True\n            and state.sent_count",
+        ("tests/relay/test_forwarder.py",),
+    ),
+    Plant(
+        "zone-out-ignored",
+        _SOURCE + "balance/targetstate.py",
+        "            or self.is_zone_out_of_service\n",
+        "",
+        ("tests/platform/test_storechanges.py",),
+    ),
+    Plant(
+        "draining-target-used",
+        _SOURCE + "balance/targetstate.py",
+        "self.target.is_leaving\n            or ",
+        "",
+        ("tests/platform/test_storechanges.py",),
+    ),
+    Plant(
+        "older-configuration-taken",
+        _SOURCE + "replica/replica.py",
+        "received.policy.version <= self.policy.version",
+        "received.policy.version == self.policy.version",
+        ("tests/replica",),
+    ),
+    Plant(
+        "retry-budget-never-spent",
+        _SOURCE + "retry/retrybudget.py",
+        "        self._tokens -= 1.0\n",
+        "",
+        ("tests/retry",),
+    ),
+    Plant(
+        "silent-zones-part-counted",
+        _SOURCE + "quota/zonereporttracker.py",
+        "return len(reporting_zones | {self._own_zone}) / max(1, zone_count)",
+        "return 1.0",
+        ("tests/quota",),
+    ),
+    Plant(
+        "late-answer-taken",
+        _SOURCE + "relay/targetclient.py",
+        "            != request.id\n",
+        '            == ""\n',
+        ("tests/platform/test_lateanswers.py",),
+    ),
+    Plant(
+        "stop-cuts-open-requests",
+        _SOURCE + "edge/shutdownschedule.py",
+        "now_ms >= self._earliest_exit_ms and is_idle",
+        "True",
+        ("tests/platform/test_hosts.py", "tests/platform/test_pipelining.py"),
+    ),
+    Plant(
+        "removed-target-returns",
+        _SOURCE + "replica/replica.py",
+        "if known is not None and known.revision >= received.revision:",
+        "if False:",
+        ("tests/replica",),
+    ),
+    Plant(
+        "lost-answer-called-not-run",
+        _SOURCE + "relay/targetclient.py",
+        "            self._run_evidence.mark_sent()\n",
+        "            pass\n",
+        ("tests/platform/test_targetfailures.py",),
+    ),
+    Plant(
+        "silence-ends-an-attempt",
+        _SOURCE + "relay/targetclient.py",
+        '            "read": None,\n',
+        '            "read": 0.2,\n',
+        ("tests/platform/test_pipelining.py",),
+    ),
+    Plant(
+        "endless-body-passed-on",
+        _SOURCE + "relay/bodyrest.py",
+        "        if remaining_ms > 0:\n",
+        "        if True:\n            remaining_ms = 30_000.0\n",
+        ("tests/platform/test_endlessanswers.py",),
+    ),
+    Plant(
+        "order-read-ahead-of-its-turn",
+        _SOURCE + "relay/application.py",
+        "if not request.can_repeat and not turn.has_come:",
+        "if False:",
+        ("tests/platform/test_pipelining.py",),
+    ),
+    Plant(
+        "malformed-entry-ends-the-process",
+        _SOURCE + "peer/messagedispatcher.py",
+        "        except Exception:  # noqa: BLE001\n"
+        "            eliot.write_traceback()\n",
+        "        except ZeroDivisionError:\n",
+        ("tests/peer",),
+    ),
+)
+
+
+def main() -> int:
+    """Try the plants; return 1 unless all are found."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--only", nargs="*", default=[])
+    given = parser.parse_args()
+    chosen = [
+        plant
+        for plant in _PLANTS
+        if not given.only or plant.name in given.only
+    ]
+    found_count = 0
+    for plant in chosen:
+        is_found = _is_found(plant)
+        found_count += is_found
+        print(f"{'found' if is_found else 'MISSED'}  {plant.name}", flush=True)
+    print(f"{len(chosen)} plants tried, {found_count} found")
+    return 0 if found_count == len(chosen) else 1
+
+
+def _is_found(plant: Plant) -> bool:
+    """Return whether the tests fail with the fault and pass without it."""
+    with tempfile.TemporaryDirectory() as directory:
+        copy = pathlib.Path(directory)
+        for name in _COPIED:
+            source = _ROOT / name
+            if source.is_dir():
+                shutil.copytree(
+                    source,
+                    copy / name,
+                    ignore=shutil.ignore_patterns("__pycache__"),
+                )
+            else:
+                shutil.copy(source, copy / name)
+        edited = copy / plant.path
+        text = edited.read_text(encoding="utf-8")
+        if text.count(plant.old) != 1:
+            raise ValueError(f"{plant.name}: the text to replace is not there")
+        edited.write_text(text.replace(plant.old, plant.new), encoding="utf-8")
+        completed = subprocess.run(  # noqa: S603
+            [sys.executable, "-m", "pytest", "-x", *plant.tests],
+            cwd=copy,
+            env={**os.environ, "PYTHONPATH": f"{copy}/src:{copy}"},
+            capture_output=True,
+            timeout=_TIMEOUT_S,
+            check=False,
+        )
+        if completed.returncode not in _TEST_STATUSES:
+            raise RuntimeError(completed.stdout.decode()[-2_000:])
+        return completed.returncode == _TESTS_FAILED
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/pomeloward/edge/fleetsync.py
+++ b/src/pomeloward/edge/fleetsync.py
@@ -105,7 +105,7 @@
         bounds = self._current_bounds()
         host_count = max(len(all_active_members), membership.zone_count)
         self._retry_budgets.update_limits(
-            bounds.retry_ratio, bounds.retry_slack, host_count
+            bounds.retry_ratio, bounds.retry_slack, host_count, is_active
         )
         self._balancer.update_active_hosts(
             is_active, len(zone_active_members), self._adopted_zones(now_ms)
--- a/src/pomeloward/edge/hostcomponents.py
+++ b/src/pomeloward/edge/hostcomponents.py
@@ -103,7 +103,9 @@
         self._admission_control = relay.AdmissionControl(self._rate_limiter)
         self.slot_allocator = relay.SlotAllocator(self._balancer)
         retry_budgets = retry.ServiceRetryBudgets(
-            host_settings.bounds.retry_ratio, host_settings.bounds.retry_slack
+            host_settings.bounds.retry_ratio,
+            host_settings.bounds.retry_slack,
+            host_settings.is_first_start,
         )
         target_client = relay.TargetClient(
             self.target_links,
--- a/src/pomeloward/retry/retrybudget.py
+++ b/src/pomeloward/retry/retrybudget.py
@@ -20,10 +20,12 @@
     no host needs to know how often the others retry.
     """
 
-    def __init__(self, retry_ratio: float, capacity_tokens: float) -> None:
+    def __init__(
+        self, retry_ratio: float, capacity_tokens: float, tokens: float
+    ) -> None:
         self._tokens_per_request = retry_ratio * _RETRY_RATIO_FACTOR
         self._capacity_tokens = capacity_tokens
-        self._tokens = capacity_tokens
+        self._tokens = min(tokens, capacity_tokens)
 
     def update_limits(
         self, retry_ratio: float, capacity_tokens: float
@@ -33,6 +35,10 @@
         self._capacity_tokens = capacity_tokens
         self._tokens = min(self._tokens, capacity_tokens)
 
+    def empty(self) -> None:
+        """Take all tokens."""
+        self._tokens = 0.0
+
     def refill_for_request(self) -> None:
         """Add the part of a token that one request earns."""
         self._tokens = min(
--- a/tests/edge/test_fleetsync.py
+++ b/tests/edge/test_fleetsync.py
@@ -70,7 +70,7 @@
             membership,
             self.peers,
             self.rate_limiter,
-            retry.ServiceRetryBudgets(0.2, 60.0),
+            retry.ServiceRetryBudgets(0.2, 60.0, True),
             self.balancer,
             settings.OperatorBounds,
         )
--- a/tests/platform/test_lateanswers.py
+++ b/tests/platform/test_lateanswers.py
@@ -42,9 +42,9 @@
 _COPIES = {
     "whole": _answer_bytes,
     "half": lambda server, request: _answer_bytes(server, request)[:60],
-    "without id": lambda server, request: (
-        _answer_bytes(server, request).replace(b"X-Request-Id", b"X-Other")
-    ),
+    "without id": lambda server, request: _answer_bytes(
+        server, request
+    ).replace(b"X-Request-Id", b"X-Other"),
 }
 
 
--- a/tests/relay/test_forwarder.py
+++ b/tests/relay/test_forwarder.py
@@ -64,7 +64,7 @@
             self.slot_allocator,
             self.balancer,
             self.target_client,
-            retry.ServiceRetryBudgets(0.2, 60.0),
+            retry.ServiceRetryBudgets(0.2, 60.0, True),
         )
 
     async def forward(self):
--- a/tests/retry/test_serviceretrybudgets.py
+++ b/tests/retry/test_serviceretrybudgets.py
@@ -22,11 +22,13 @@
     """
     rng = random.Random(seed)
     fleet_budgets = [
-        retry.ServiceRetryBudgets(_RETRY_RATIO, _RETRY_SLACK)
+        retry.ServiceRetryBudgets(_RETRY_RATIO, _RETRY_SLACK, True)
         for _ in range(host_count)
     ]
     for host_budgets in fleet_budgets:
-        host_budgets.update_limits(_RETRY_RATIO, _RETRY_SLACK, host_count)
+        host_budgets.update_limits(
+            _RETRY_RATIO, _RETRY_SLACK, host_count, True
+        )
     requests = []
     for second in range(60):
         is_failing = 20 <= second < 45
@@ -48,5 +50,36 @@
 
 
 def test_service_without_earlier_requests_may_retry():
-    budgets = retry.ServiceRetryBudgets(_RETRY_RATIO, _RETRY_SLACK)
+    budgets = retry.ServiceRetryBudgets(_RETRY_RATIO, _RETRY_SLACK, True)
     assert budgets.budget_for(_SERVICE_ID).try_take_token()
+
+
+@pytest.mark.parametrize("is_restart", [False, True])
+def test_retries_stay_within_bounds_while_callers_move_between_hosts(
+    is_restart,
+):
+    """Each host that callers moved to brought a full budget of its own.
+
+    After a restart of all hosts, 36 of them had one, and the retries of a
+    look-up service exceeded their bound (Stoyp Nord, trouble-3).
+    """
+    fleet_budgets = [
+        retry.ServiceRetryBudgets(_RETRY_RATIO, _RETRY_SLACK, not is_restart)
+        for _ in range(36)
+    ]
+    requests = retries = 0
+    for second in range(10):
+        active = {second, second + 10, second + 20}
+        for number, host_budgets in enumerate(fleet_budgets):
+            host_budgets.update_limits(
+                _RETRY_RATIO, _RETRY_SLACK, 3, number in active
+            )
+        for number, host_budgets in enumerate(fleet_budgets):
+            # Some callers still use the addresses of other hosts.
+            for _ in range(15 if number in active else 1):
+                budget = host_budgets.budget_for(_SERVICE_ID)
+                budget.refill_for_request()
+                requests += 1
+                while budget.try_take_token():
+                    retries += 1
+    assert retries <= _RETRY_RATIO * requests + _RETRY_SLACK
