Prefer other targets for some seconds after an error

Cause: a target that fails a part of its requests fails them within 4 ms and had answered just before, so that it looked idle and good; orders went there until two errors in a row made it suspected.

Change: an error costs a target as much as four seconds without a good answer, less as it gets older. It still gets requests when the others are full.

Ruled out: suspicion after one error, which the usual one error in a hundred would cause all the time.

--- a/src/pomeloward/balance/selection.py
+++ b/src/pomeloward/balance/selection.py
@@ -105,4 +105,8 @@
         _MAX_SUCCESS_AGE_MS, now_ms - health.last_success_at_ms
     )
     load = len(health.open_attempts) + health.lateness_ratio(now_ms)
-    return success_age_ms + _ATTEMPT_WEIGHT_MS * load
+    return (
+        success_age_ms
+        + health.error_penalty_ms(now_ms)
+        + _ATTEMPT_WEIGHT_MS * load
+    )
--- a/src/pomeloward/balance/targethealth.py
+++ b/src/pomeloward/balance/targethealth.py
@@ -8,6 +8,10 @@
 _CONSECUTIVE_ERROR_LIMIT = 2
 _ERROR_RATIO_GAIN = 0.2
 _ERROR_RATIO_LIMIT = 0.45
+# A target that fails a part of its requests is suspected only after several
+# of them. Until then an error makes it as unattractive as this time without a
+# good answer, less as the error gets older.
+_ERROR_PENALTY_MS = 4_000.0
 # Good answers in a row that end a suspicion. A target that fails three of
 # four requests passes by chance once in sixteen times.
 _REQUIRED_SUCCESSES = 2
@@ -46,6 +50,7 @@
         self.last_success_at_ms = float("-inf")
         self.last_start_at_ms = float("-inf")
         self.paused_until_ms = float("-inf")
+        self._last_error_at_ms = float("-inf")
         self._may_be_cold_until_ms = float("-inf")
         self._consecutive_errors = 0
         self._error_ratio = 0.0
@@ -66,6 +71,10 @@
             default=0.0,
         )
 
+    def error_penalty_ms(self, now_ms: float) -> float:
+        """Return the cost of the latest error, 0 when it is long ago."""
+        return max(0.0, _ERROR_PENALTY_MS - (now_ms - self._last_error_at_ms))
+
     def is_unhealthy(self, now_ms: float) -> bool:
         """Tell whether only trial requests may go to the target."""
         return self.is_suspected or self.is_silent(now_ms)
@@ -132,6 +141,7 @@
             self._trial_delay_ms = FIRST_TRIAL_DELAY_MS
 
     def _record_error(self, now_ms: float) -> None:
+        self._last_error_at_ms = now_ms
         self._consecutive_errors += 1
         self._error_ratio += _ERROR_RATIO_GAIN * (1 - self._error_ratio)
         if (
