Leave retries for failures when backup attempts are many

Change: a backup attempt is made only while a quarter of the budget's capacity remains besides it.

Ruled out: max-attempts, which allows two.

--- a/src/pomeloward/relay/forwarder.py
+++ b/src/pomeloward/relay/forwarder.py
@@ -158,7 +158,7 @@
             and self._balancer.has_spare_capacity(request.service_id)
         ):
             return None
-        if not budget.has_tokens(1.0):
+        if not budget.allows_backup:
             return None
         attempt = self._slot_allocator.try_acquire(
             request, state.tried_target_ids
--- a/src/pomeloward/retry/retrybudget.py
+++ b/src/pomeloward/retry/retrybudget.py
@@ -4,6 +4,8 @@
 # part of the operators' retry ratio keeps retries within the ratio by the
 # targets' count, too.
 _RETRY_RATIO_FACTOR = 0.8
+# Part of the capacity that backup attempts leave to retries of failures.
+_FAILURE_RESERVE_RATIO = 0.25
 
 
 class RetryBudget:
@@ -49,6 +51,16 @@
         """Tell whether at least ``min_tokens`` are left."""
         return self._tokens >= min_tokens
 
+    @property
+    def allows_backup(self) -> bool:
+        """Whether a backup attempt leaves tokens for failed requests.
+
+        A failed request is lost without a retry, while a slow one usually
+        gets its answer.
+        """
+        reserve = self._capacity_tokens * _FAILURE_RESERVE_RATIO
+        return self._tokens >= 1.0 + reserve
+
     @property
     def is_half_full(self) -> bool:
         """Whether at least half of the capacity, and one token, is left.
--- a/tests/retry/test_serviceretrybudgets.py
+++ b/tests/retry/test_serviceretrybudgets.py
@@ -83,3 +83,16 @@
                 while budget.try_take_token():
                     retries += 1
     assert retries <= _RETRY_RATIO * requests + _RETRY_SLACK
+
+
+def test_backup_attempts_leave_retries_for_failures():
+    """Look-ups ended with a target's error, since slow ones had spent all."""
+    budgets = retry.ServiceRetryBudgets(_RETRY_RATIO, _RETRY_SLACK, True)
+    budgets.update_limits(_RETRY_RATIO, _RETRY_SLACK, 3, True)
+    budget = budgets.budget_for(_SERVICE_ID)
+    while budget.allows_backup:
+        assert budget.try_take_token()
+    failure_retries = 0
+    while budget.try_take_token():
+        failure_retries += 1
+    assert failure_retries >= 3
