Ignore implausible members in heartbeats, and halve those between zones

Cause: a well-formed heartbeat with an empty or foreign host, an unknown zone or an absurd capacity put that host before all others, and callers were sent to it.

Change: a member counts only with an address, a known zone and rates in range.

Ruled out: usage reports as the main part of that traffic, about 2 kB/s of 24 kB/s by their sizes.

--- a/src/pomeloward/fleet/heartbeatexchange.py
+++ b/src/pomeloward/fleet/heartbeatexchange.py
@@ -17,6 +17,9 @@
 # Interval between heartbeats while no other host is live, so that a starting
 # host finds its zone within a few of them. Also the delay after a change.
 _FAST_INTERVAL_MS = 100.0
+# Without a change, heartbeats go to other zones in one of so many rounds.
+# Traffic between zones costs more than the news are worth.
+_ROUNDS_PER_OTHER_ZONE_HEARTBEAT = 2
 
 HeartbeatHandler = collections.abc.Callable[
     [model.HostId, messages.Heartbeat, float], None
@@ -57,9 +60,16 @@
 
     async def run(self) -> None:
         """Send heartbeats and remove expired members until cancelled."""
+        round_number = 0
         while True:
             now_ms = model.now_ms()
-            self.send_heartbeats(now_ms)
+            has_changed = self._membership_changed.is_set()
+            self.send_heartbeats(
+                now_ms,
+                has_changed
+                or round_number % _ROUNDS_PER_OTHER_ZONE_HEARTBEAT == 0,
+            )
+            round_number += 1
             self._membership.remove_expired_members(now_ms)
             for host in self._membership.newly_silent_hosts(now_ms):
                 self._peers.reconnect(host)
@@ -75,10 +85,20 @@
                 # Combines changes that arrive together in one heartbeat.
                 await anyio.sleep(_FAST_INTERVAL_MS / 1_000)
 
-    def send_heartbeats(self, now_ms: float) -> None:
-        """Send heartbeats to all gossip peers, and to seeds when due."""
-        gossip_peers = self._membership.gossip_peers(now_ms)
-        for host in gossip_peers:
+    def send_heartbeats(
+        self, now_ms: float, includes_other_zones: bool = True
+    ) -> None:
+        """Send heartbeats to all gossip peers, and to seeds when due.
+
+        Without ``includes_other_zones`` only the own zone gets them.
+        """
+        own_zone = self._membership.own_member.zone
+        for host in self._membership.gossip_peers(now_ms):
+            if (
+                not includes_other_zones
+                and self._membership.zone_of(host) != own_zone
+            ):
+                continue
             reports = self._membership.reports_for(host, now_ms)
             self._peers.notify(host, self._heartbeat(reports, now_ms))
         for seed in self._membership.start_seed_discovery(now_ms):
--- a/src/pomeloward/fleet/member.py
+++ b/src/pomeloward/fleet/member.py
@@ -1,6 +1,8 @@
 """A host's description of itself as a member of the fleet."""
 
 import enum
+import functools
+import ipaddress
 
 import msgspec
 
@@ -10,6 +12,8 @@
 # alone. One that starts later comes after them, so that a restart moves no
 # callers back.
 _START_INTERVAL_MS = 4_000
+# More requests/s than any host carries or reports.
+_MAX_RATE_PER_S = 1_000_000
 
 
 class MemberState(enum.IntEnum):
@@ -41,6 +45,15 @@
         """The IP address of the host, without the port."""
         return self.host.rpartition(":")[0]
 
+    @property
+    def is_plausible(self) -> bool:
+        """Whether callers may be sent to the host if it is ready."""
+        return (
+            0 <= self.capacity_per_s <= _MAX_RATE_PER_S
+            and 0 <= self.load_per_s <= _MAX_RATE_PER_S
+            and _is_endpoint(self.host)
+        )
+
     @property
     def precedence_key(self) -> tuple[int, int, str]:
         """The key that sorts the hosts of a zone by precedence.
@@ -50,3 +63,14 @@
         """
         start_interval = int(self.incarnation) // _START_INTERVAL_MS
         return -self.capacity_per_s, start_interval, self.host
+
+
+@functools.lru_cache(maxsize=4_096)
+def _is_endpoint(host: model.HostId) -> bool:
+    """Return whether a text is an IPv4 address and a port."""
+    ip_address, _, port = host.rpartition(":")
+    try:
+        ipaddress.IPv4Address(ip_address)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit()
--- a/src/pomeloward/fleet/membership.py
+++ b/src/pomeloward/fleet/membership.py
@@ -23,6 +23,8 @@
 _SEED_DISCOVERY_INTERVAL_MS = 2_000.0
 # Allows for a rise of the load until callers ask for addresses again.
 _CAPACITY_HEADROOM_RATIO = 1.5
+# Older news say only that a host is not live.
+_MAX_REPORT_AGE_MS = 3_600_000
 
 
 class Membership:
@@ -58,15 +60,24 @@
         """Update the membership from a received heartbeat.
 
         Returns whether a host became live, started anew or changed its state.
+        Implausible members are ignored, since their heartbeat can come from
+        a broken host.
         """
-        is_changed = self._table.update_member(heartbeat.own, now_ms, now_ms)
+        is_changed = self._update_member(heartbeat.own, 0, now_ms)
         for report in heartbeat.others:
-            heard_ms = now_ms - report.age_ms
-            is_changed |= self._table.update_member(
-                report.member, heard_ms, now_ms
+            is_changed |= self._update_member(
+                report.member, report.age_ms, now_ms
             )
         return is_changed
 
+    def _update_member(
+        self, member: members.Member, age_ms: int, now_ms: float
+    ) -> bool:
+        if not member.is_plausible or member.zone not in self._zones:
+            return False
+        heard_ms = now_ms - max(0, min(age_ms, _MAX_REPORT_AGE_MS))
+        return self._table.update_member(member, heard_ms, now_ms)
+
     def live_members(
         self, zone: model.ZoneId, now_ms: float
     ) -> list[members.Member]:
--- a/src/pomeloward/fleet/membertable.py
+++ b/src/pomeloward/fleet/membertable.py
@@ -12,8 +12,8 @@
 # host in the same zone comes through one other host; the timeout is four
 # heartbeat intervals.
 SAME_ZONE_TIMEOUT_MS = 1_600.0
-# News of a host in another zone comes through two other hosts; the timeout
-# allows as many intervals for each hop.
+# News of a host in another zone comes through two other hosts, of which the
+# first sends it to other zones in every second interval.
 OTHER_ZONE_TIMEOUT_MS = 2_600.0
 # Failed hosts are left out of heartbeats and address answers long before they
 # are removed from the table.
--- a/tests/edge/test_fleetsync.py
+++ b/tests/edge/test_fleetsync.py
@@ -51,8 +51,8 @@
     It knows another host of its zone and 10.1.0.1:80 of the remote zone.
     """
 
-    def __init__(self, targets):
-        self.peers = RecordingPeers()
+    def __init__(self, targets, peers=None):
+        self.peers = peers or RecordingPeers()
         own_member = _make_member("10.0.0.1:80", factories.LOCAL_ZONE)
         membership = self.membership = fleet.Membership(
             own_member, (factories.LOCAL_ZONE, factories.REMOTE_ZONE), ()
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -24,6 +24,7 @@
         self.dead_hosts = set()
         self.cut_links = set()
         self.sent_counts = {}
+        self.round_numbers = {}
         self.memberships = {}
         self.next_heartbeat_ms = {}
         self._zones = list(host_counts)
@@ -67,7 +68,14 @@
                 self._send_heartbeats(host, membership)
 
     def _send_heartbeats(self, host, membership):
+        # As HeartbeatExchange does, every second round stays in the zone.
+        round_number = self.round_numbers.get(host, 0)
+        self.round_numbers[host] = round_number + 1
+        own_zone = membership.own_member.zone
         for receiver in membership.gossip_peers(self.now_ms):
+            is_remote = membership.zone_of(receiver) != own_zone
+            if is_remote and round_number % 2:
+                continue
             reports = membership.reports_for(receiver, self.now_ms)
             self._deliver(host, receiver, reports)
         for seed in membership.start_seed_discovery(self.now_ms):
