--- a/bench/plants.py
+++ b/bench/plants.py
@@ -136,12 +136,18 @@
         ("tests/platform/test_pipelining.py",),
     ),
     Plant(
-        "malformed-entry-ends-the-process",
-        _SOURCE + "peer/messagedispatcher.py",
-        "        except Exception:  # noqa: BLE001\n"
-        "            eliot.write_traceback()\n",
-        "        except ZeroDivisionError:\n",
-        ("tests/peer",),
+        "implausible-member-taken",
+        _SOURCE + "fleet/membership.py",
+        "if not member.is_plausible or member.zone not in self._zones:",
+        "if False:",
+        ("tests/edge/test_malformedmessages.py",),
+    ),
+    Plant(
+        "restarted-host-has-full-retry-budget",
+        _SOURCE + "retry/serviceretrybudgets.py",
+        "            return _MIN_CAPACITY_TOKENS\n",
+        "            pass\n",
+        ("tests/retry",),
     ),
 )
 
