Let hosts that start together wait for each other before they read

Cause: until a host hears of others it is the first of its zone, so that all hosts of a fleet read the whole store at their start.

Change: a host without any state reads after the take-over delay of its rank, and without peers after 700 ms.

Ruled out: fewer readers than zones; a reader of another zone is known to be silent only after the bound for draining targets would be missed.

Measured by tests/replica/test_readschedule.py: 59 hosts that start together read at most twice in the first second; before, each of them did.

--- a/src/pomeloward/replica/readschedule.py
+++ b/src/pomeloward/replica/readschedule.py
@@ -8,6 +8,9 @@
 # Each host in its zone's order waits this much longer than the one before it
 # until it reads in that host's place.
 TAKEOVER_DELAY_MS = 500.0
+# A host that has just started waits this long for a first heartbeat. Seeds
+# answer within a few tenths of a second.
+FIRST_CONTACT_MS = 700.0
 # Hosts after these in the order read only while they hear no other host.
 READERS_PER_ZONE = 4
 # The limit of the exponential backoff between failed reads.
@@ -32,6 +35,7 @@
     def __init__(self, now_ms: float) -> None:
         # When the newest state known here was read from the store.
         self.state_read_at_ms = float("-inf")
+        self._started_ms = now_ms
         self._earliest_read_ms = now_ms
         self._consecutive_failures = 0
 
@@ -68,10 +72,15 @@
         """
         if rank >= READERS_PER_ZONE and has_peers:
             return math.inf
-        max_age_ms = POLL_INTERVAL_MS + TAKEOVER_DELAY_MS * min(
-            rank, READERS_PER_ZONE
-        )
-        return max(self._earliest_read_ms, self.state_read_at_ms + max_age_ms)
+        takeover_ms = TAKEOVER_DELAY_MS * min(rank, READERS_PER_ZONE)
+        if math.isinf(self.state_read_at_ms):
+            # Many hosts start together, and all of them are the first of
+            # their zone until they hear of each other.
+            patience_ms = 0.0 if has_peers else FIRST_CONTACT_MS
+            due_ms = self._started_ms + max(takeover_ms, patience_ms)
+        else:
+            due_ms = self.state_read_at_ms + POLL_INTERVAL_MS + takeover_ms
+        return max(self._earliest_read_ms, due_ms)
 
     def record_start(self, now_ms: float) -> None:
         """Record the start of a read, which delays the next one."""
--- a/tests/replica/test_readschedule.py
+++ b/tests/replica/test_readschedule.py
@@ -71,3 +71,28 @@
     rank = readschedule.READERS_PER_ZONE
     assert schedule.due_at_ms(rank, has_peers=True) == float("inf")
     assert schedule.due_at_ms(rank, has_peers=False) < float("inf")
+
+
+def test_hosts_that_start_together_read_once_a_zone():
+    """All hosts of a fleet read everything at their start.
+
+    Each is the first of its zone until it hears of the others.
+    """
+    schedules = [replica.ReadSchedule(0.0) for _ in range(59)]
+    read_count = 0
+    for now_ms in range(0, 2_000, 10):
+        has_peers = now_ms >= 300
+        for rank, schedule in enumerate(schedules):
+            known_rank = rank if has_peers else 0
+            if schedule.is_due(now_ms, known_rank, has_peers):
+                schedule.record_start(now_ms)
+                schedule.record_success(now_ms, now_ms + 40)
+                read_count += now_ms < 1_000
+                for other in schedules:
+                    other.record_state_read_at(now_ms)
+    assert read_count <= 2
+
+
+def test_host_without_peers_reads_soon_after_its_start():
+    schedule = replica.ReadSchedule(0.0)
+    assert schedule.due_at_ms(0, has_peers=False) <= 1_000.0
