Release the slot of a long answer when its caller leaves with it

Cause: the slot of an answer over 256 kB is released with the end of its body. When the caller left or the deadline passed just as the answer came, nobody took it from the stream of results, and the slot was lost for good.

Change: answers that are not passed on are closed in every case.

Ruled out: shorter answers, whose slot is released with the attempt.

--- a/src/pomeloward/relay/forwarder.py
+++ b/src/pomeloward/relay/forwarder.py
@@ -65,13 +65,21 @@
                 attemptresult.AttemptResult
             ](request.route.max_attempts + _MAX_UNREACHABLE_ATTEMPTS + 1)
             with sender, receiver:
-                async with anyio.create_task_group() as tasks:
-                    forwarded = await self._run_attempts(
-                        state, log_entry, tasks, sender, receiver
-                    )
-                    tasks.cancel_scope.cancel()
-                await _close_unread(receiver)
-                return forwarded
+                unused: ForwardResult | None = None
+                try:
+                    async with anyio.create_task_group() as tasks:
+                        forwarded = await self._run_attempts(
+                            state, log_entry, tasks, sender, receiver
+                        )
+                        unused = forwarded
+                        tasks.cancel_scope.cancel()
+                    return forwarded
+                except BaseException:
+                    if unused is not None and unused.is_ok():
+                        await unused.ok.aclose()
+                    raise
+                finally:
+                    await _close_unread(receiver)
         return self._refuse_timed_out(state)
 
     async def _run_attempts(
--- a/tests/relay/test_forwarder.py
+++ b/tests/relay/test_forwarder.py
@@ -162,3 +162,46 @@
         assert len(harness.target_client.sent_target_ids) == 1
 
     _run(scenario)
+
+
+class LongBody:
+    """Stands for the rest of a long body; holds the slot of its attempt."""
+
+    def __init__(self):
+        self.on_end = None
+
+    async def aclose(self):
+        self.on_end(balance.Outcome.ABANDONED)
+
+
+def test_slot_of_a_long_answer_is_free_after_its_caller_left():
+    """The caller leaves just when the answer comes.
+
+    A slot that nobody releases would be lost as long as the host runs.
+    """
+
+    async def scenario():
+        harness = ForwarderHarness({"n1": 0.0, "n2": 0.0})
+        client = harness.target_client
+        send = client.send
+
+        for _ in range(10):
+            with anyio.CancelScope() as scope:
+
+                async def send_and_leave(*arguments):
+                    result = await send(*arguments)
+                    result.response.body_rest = LongBody()
+                    scope.cancel()  # noqa: B023
+                    return result
+
+                client.send = send_and_leave
+                await harness.forward()
+        slots = [
+            harness.balancer.start_attempt(
+                factories.SERVICE_ID, harness.route, (), False, 1e6
+            )
+            for _ in range(6)
+        ]
+        assert None not in slots
+
+    _run(scenario)
