Keep the retry slack of hosts that start with the fleet

Cause: hosts synchronize before they are ready, when they don't count as active, and lost their part of the slack for good; a look-up whose first target failed got no second attempt.

Change: a starting host keeps its part until it turns out to be inactive.

Measured: the new test fails before and passes after; the 17 tests of failing targets pass.

--- a/src/pomeloward/edge/fleetsync.py
+++ b/src/pomeloward/edge/fleetsync.py
@@ -104,8 +104,13 @@
             self._report_unhealthy_targets(all_active_members, now_ms)
         bounds = self._current_bounds()
         host_count = max(len(all_active_members), membership.zone_count)
+        # A host that is still starting may become one of the active ones.
+        is_starting = membership.own_member.state is fleet.MemberState.STARTING
         self._retry_budgets.update_limits(
-            bounds.retry_ratio, bounds.retry_slack, host_count, is_active
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            host_count,
+            is_active or is_starting,
         )
         self._balancer.update_active_hosts(
             is_active, len(zone_active_members), self._adopted_zones(now_ms)
--- a/tests/edge/test_fleetsync.py
+++ b/tests/edge/test_fleetsync.py
@@ -64,13 +64,14 @@
             membership.apply_heartbeat(
                 fleet.Heartbeat(own=_make_member(host, zone)), 0.0
             )
+        self.retry_budgets = retry.ServiceRetryBudgets(0.2, 60.0, True)
         self.rate_limiter = quota.TeamRateLimiter(True)
         self.balancer = factories.make_balancer(targets)
         self.fleet_sync = fleetsync.FleetSync(
             membership,
             self.peers,
             self.rate_limiter,
-            retry.ServiceRetryBudgets(0.2, 60.0, True),
+            self.retry_budgets,
             self.balancer,
             settings.OperatorBounds,
         )
@@ -179,3 +180,17 @@
             tasks.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_host_of_a_first_start_has_its_part_of_the_retry_slack():
+    """Hosts synchronize before they are ready, when none of them is active."""
+    host = ActiveHost([])
+    ready_member = host.membership.own_member
+    host.membership.own_member = msgspec.structs.replace(
+        ready_member, state=fleet.MemberState.STARTING
+    )
+    host.fleet_sync.sync(100.0)
+    host.membership.own_member = ready_member
+    host.fleet_sync.sync(250.0)
+    budget = host.retry_budgets.budget_for(factories.SERVICE_ID)
+    assert budget.try_take_token()
