--- a/src/pomeloward/entry/pipeliningprotocol.py
+++ b/src/pomeloward/entry/pipeliningprotocol.py
@@ -20,6 +20,10 @@
     {b"content-length", b"transfer-encoding", b"expect", b"upgrade"}
 )
 
+# Position of the connection's state among the arguments of hypercorn's
+# protocols. Each request gets a copy that tells its turn.
+_STATE_ARGUMENT = 4
+
 Headers = list[tuple[bytes, bytes]]
 _CLOSE = (b"connection", b"close")
 
@@ -83,7 +87,10 @@
     def _add_request(self) -> None:
         turn = turns.Turn(has_come=not self._requests)
         arguments = list(self._arguments)
-        arguments[4] = {**self._connection_state, turns.SCOPE_STATE_KEY: turn}
+        arguments[_STATE_ARGUMENT] = {
+            **self._connection_state,
+            turns.SCOPE_STATE_KEY: turn,
+        }
         self._requests.append(
             pipelinedrequest.PipelinedRequest(
                 arguments, turn, self._adjust_head, self._end_request
