Let restarted hosts read the store at once

Cause: the wait of hosts that start together also held after a restart of all of them, while callers wait.

Change: only the first start of a fleet, before its callers come, waits.

Measured: the new test of a restarted host fails before; tests/replica and tests/edge pass.

--- a/src/pomeloward/edge/hostcomponents.py
+++ b/src/pomeloward/edge/hostcomponents.py
@@ -75,7 +75,9 @@
             lambda: self.membership.gossip_peers(model.now_ms()),
             self._apply_changes,
         )
-        self._read_schedule = replica.ReadSchedule(model.now_ms())
+        self._read_schedule = replica.ReadSchedule(
+            model.now_ms(), host_settings.is_first_start
+        )
         self.store_poller = replica.StorePoller(
             store_client,
             self.replica,
--- a/src/pomeloward/replica/readschedule.py
+++ b/src/pomeloward/replica/readschedule.py
@@ -32,10 +32,16 @@
             schedule.record_start(now_ms)
     """
 
-    def __init__(self, now_ms: float) -> None:
+    def __init__(self, now_ms: float, is_first_start: bool = False) -> None:
+        """Make the schedule of a host that starts now.
+
+        ``is_first_start`` tells that the whole fleet starts for the first
+        time, so that no callers wait yet.
+        """
         # When the newest state known here was read from the store.
         self.state_read_at_ms = float("-inf")
         self._started_ms = now_ms
+        self._is_first_start = is_first_start
         self._earliest_read_ms = now_ms
         self._consecutive_failures = 0
 
@@ -73,9 +79,10 @@
         if rank >= READERS_PER_ZONE and has_peers:
             return math.inf
         takeover_ms = TAKEOVER_DELAY_MS * min(rank, READERS_PER_ZONE)
-        if math.isinf(self.state_read_at_ms):
+        if self._is_first_start and math.isinf(self.state_read_at_ms):
             # Many hosts start together, and all of them are the first of
-            # their zone until they hear of each other.
+            # their zone until they hear of each other. After a restart
+            # callers wait, and each host reads at once.
             patience_ms = 0.0 if has_peers else FIRST_CONTACT_MS
             due_ms = self._started_ms + max(takeover_ms, patience_ms)
         else:
--- a/tests/replica/test_readschedule.py
+++ b/tests/replica/test_readschedule.py
@@ -78,7 +78,9 @@
 
     Each is the first of its zone until it hears of the others.
     """
-    schedules = [replica.ReadSchedule(0.0) for _ in range(59)]
+    schedules = [
+        replica.ReadSchedule(0.0, is_first_start=True) for _ in range(59)
+    ]
     read_count = 0
     for now_ms in range(0, 2_000, 10):
         has_peers = now_ms >= 300
@@ -93,6 +95,14 @@
     assert read_count <= 2
 
 
-def test_host_without_peers_reads_soon_after_its_start():
-    schedule = replica.ReadSchedule(0.0)
+def test_restarted_host_reads_at_once():
+    """Callers wait while a fleet restarts; each host waited for the others."""
+    for rank in range(readschedule.READERS_PER_ZONE):
+        for has_peers in (False, True):
+            schedule = replica.ReadSchedule(0.0)
+            assert schedule.is_due(0.0, rank, has_peers)
+
+
+def test_host_without_peers_reads_soon_after_the_first_start():
+    schedule = replica.ReadSchedule(0.0, is_first_start=True)
     assert schedule.due_at_ms(0, has_peers=False) <= 1_000.0
