Log the rate limits that targets name

Cause: no part of a host read the limit that a target names in its answers, so neither logs nor metrics could show whether a host knew of one, and thus whether an excess came from hosts without this knowledge or from hosts that had it each for themselves.

Change: the target client reports the limit of each answer that is the target's own; the balancer keeps it, and writes target:limit when it begins, changes or ends. A gauge counts limited targets. No decision uses it yet.

Measured: tests/platform/test_logs.py has the lines.

--- a/src/pomeloward/balance/balancer.py
+++ b/src/pomeloward/balance/balancer.py
@@ -27,6 +27,9 @@
 _REPORT_LIFETIME_MS = 3 * HEALTH_REPORT_INTERVAL_MS
 
 OnSuspicionChange = collections.abc.Callable[[replica.Target, str, bool], None]
+OnRateLimitChange = collections.abc.Callable[
+    [replica.Target, float | None, str], None
+]
 
 
 class Balancer:
@@ -52,15 +55,19 @@
         zone: model.ZoneId,
         on_suspicion_change: OnSuspicionChange,
         rng: random.Random,
+        on_rate_limit_change: OnRateLimitChange,
     ) -> None:
         """Create a balancer without targets for a host in ``zone``.
 
         ``on_suspicion_change`` is called with a target, the reason, and
-        whether the target is suspected now.
+        whether the target is suspected now. ``on_rate_limit_change`` is
+        called with a target, the limit in requests per second that it now
+        names, if any, and the source of this knowledge.
         """
         self._zone = zone
         self._rng = rng
         self._on_suspicion_change = on_suspicion_change
+        self._on_rate_limit_change = on_rate_limit_change
         self._target_states: dict[
             model.ServiceId, dict[model.TargetId, targetstate.TargetState]
         ] = {}
@@ -295,6 +302,29 @@
                 state.health.is_suspected,
             )
 
+    def record_rate_limit(
+        self,
+        attempt: attempts.Attempt,
+        limit_per_s: float | None,
+        now_ms: float,
+    ) -> None:
+        """Record the rate limit that a target's answer names, None if none."""
+        state = self._target_states.get(attempt.service_id, {}).get(
+            attempt.target_id
+        )
+        if state is None or state.named_limit_per_s == limit_per_s:
+            return
+        state.named_limit_per_s = limit_per_s
+        self._on_rate_limit_change(state.target, limit_per_s, "answer")
+
+    def limited_target_count(self) -> int:
+        """Return how many targets name a rate limit."""
+        return sum(
+            state.named_limit_per_s is not None
+            for service_states in self._target_states.values()
+            for state in service_states.values()
+        )
+
     def _trial_policy(self, is_repeatable: bool) -> selection.TrialPolicy:
         if not self._is_active:
             return selection.TrialPolicy.NONE
--- a/src/pomeloward/edge/hostcomponents.py
+++ b/src/pomeloward/edge/hostcomponents.py
@@ -100,7 +100,10 @@
             host_settings.is_first_start
         )
         self._balancer = balance.Balancer(
-            host_settings.zone, logevents.log_target_suspicion, rng
+            host_settings.zone,
+            logevents.log_target_suspicion,
+            rng,
+            logevents.log_target_rate_limit,
         )
         self._admission_control = relay.AdmissionControl(self._rate_limiter)
         self.slot_allocator = relay.SlotAllocator(self._balancer)
@@ -113,6 +116,9 @@
             self.target_links,
             http_conventions,
             self._max_connections_per_target,
+            lambda attempt, limit_per_s: self._balancer.record_rate_limit(
+                attempt, limit_per_s, model.now_ms()
+            ),
         )
         self.app = relay.Application(
             http_conventions,
@@ -141,6 +147,10 @@
         self.metrics.register_gauge(
             "pomeloward_waiting", self.slot_allocator.waiting_count
         )
+        self.metrics.register_gauge(
+            "pomeloward_limited_targets",
+            self._balancer.limited_target_count,
+        )
 
     def caller_timeouts(self) -> entry.CallerTimes:
         """Return the current configuration's timeouts for callers.
--- a/src/pomeloward/edge/logevents.py
+++ b/src/pomeloward/edge/logevents.py
@@ -20,6 +20,23 @@
     )
 
 
+def log_target_rate_limit(
+    target: replica.Target, limit_per_s: float | None, source: str
+) -> None:
+    """Log the rate limit that a target names, None when it names none.
+
+    ``source`` is ``answer`` for one of the target's answers to this host, or
+    the host that reported the limit.
+    """
+    eliot.log_message(
+        message_type="target:limit",
+        target=target.id,
+        service=target.service,
+        limit_per_s=limit_per_s,
+        source=source,
+    )
+
+
 def log_replica_change(change: replica.Change) -> None:
     """Log a change of the replica with the store's revision."""
     if isinstance(change, replica.PolicyChange):
--- a/src/pomeloward/platform/httpconventions.py
+++ b/src/pomeloward/platform/httpconventions.py
@@ -9,6 +9,7 @@
     team_id_header=b"x-tenant",
     signature_header=b"x-upstream-signature",
     not_run_header=b"x-not-executed",
+    rate_limit_header=b"server-limit",
     authorization_prefix=b"token ",
     # 421 says that another target has taken over the address.
     target_not_run_statuses=frozenset({421}),
--- a/src/pomeloward/relay/httpconventions.py
+++ b/src/pomeloward/relay/httpconventions.py
@@ -16,7 +16,8 @@
     ``team_id_header``. Its complete success responses have
     ``signature_header``. A response with ``not_run_header``, or with one of
     ``target_not_run_statuses``, says that the target did not run the
-    request.
+    request. In ``rate_limit_header`` a target names the requests per second
+    that it takes from all hosts together.
 
     A response with one of ``caller_not_run_statuses`` promises the caller
     that its request did not run.
@@ -28,6 +29,7 @@
     team_id_header: bytes
     signature_header: bytes
     not_run_header: bytes
+    rate_limit_header: bytes
     authorization_prefix: bytes
     target_not_run_statuses: frozenset[int]
     caller_not_run_statuses: frozenset[int]
--- a/src/pomeloward/relay/targetclient.py
+++ b/src/pomeloward/relay/targetclient.py
@@ -1,8 +1,10 @@
 """HTTP client that sends a request to a target and checks the response."""
 
 import collections.abc
+import math
 import typing
 
+import eliot
 import httpx
 
 from pomeloward import balance
@@ -24,8 +26,12 @@
 _SEND_STARTED_EVENT = "http11.send_request_headers.started"
 # "Misdirected Request": another server has taken over the target's address.
 _MISDIRECTED_STATUS = 421
+_MAX_LOGGED_BYTES = 40
 
 Headers = dispatch.Headers
+# Called with each answer that tells whether its target limits its rate; the
+# limit is None if the target names none.
+OnRateLimit = collections.abc.Callable[[balance.Attempt, float | None], None]
 
 
 class _RequestBodyStream(httpx.AsyncByteStream):
@@ -43,7 +49,8 @@
     """Sends attempts over this host's persistent connections to targets.
 
     ``max_connections_for`` returns how many connections this host may open
-    to a target of a service.
+    to a target of a service. ``on_rate_limit`` is called with the limit in
+    requests per second that a target names in an answer.
     """
 
     def __init__(
@@ -51,10 +58,12 @@
         target_links: dispatch.Links,
         conventions: httpconventions.HttpConventions,
         max_connections_for: collections.abc.Callable[[model.ServiceId], int],
+        on_rate_limit: OnRateLimit,
     ) -> None:
         self._links = target_links
         self._conventions = conventions
         self._max_connections_for = max_connections_for
+        self._on_rate_limit = on_rate_limit
 
     async def send(
         self,
@@ -156,6 +165,7 @@
             conventions.not_run_header in headers
             or status in conventions.target_not_run_statuses
         )
+        self._report_rate_limit(attempt, headers, status)
         if is_not_run:
             return await self._record_not_run(attempt, response, run_evidence)
         has_success_status = 200 <= status < 300
@@ -184,6 +194,35 @@
             response=target_response,
         )
 
+    def _report_rate_limit(
+        self,
+        attempt: balance.Attempt,
+        headers: dict[bytes, bytes],
+        status: int,
+    ) -> None:
+        """Report the rate limit that an answer names, or that it names none.
+
+        A signed answer without a limit ends one that was named before. Other
+        answers without it may come from something else than the target.
+        """
+        conventions = self._conventions
+        if status == _MISDIRECTED_STATUS:
+            return
+        text = headers.get(conventions.rate_limit_header)
+        if text is None:
+            if conventions.signature_header in headers:
+                self._on_rate_limit(attempt, None)
+            return
+        limit_per_s = _parse_rate(text)
+        if limit_per_s is None:
+            eliot.log_message(
+                message_type="target:limit_unreadable",
+                target=attempt.target_id,
+                text=text[:_MAX_LOGGED_BYTES].decode("latin-1"),
+            )
+            return
+        self._on_rate_limit(attempt, limit_per_s)
+
     @staticmethod
     async def _record_not_run(
         attempt: balance.Attempt,
@@ -227,6 +266,15 @@
             self._run_evidence.mark_sent()
 
 
+def _parse_rate(text: bytes) -> float | None:
+    """Return a rate per second, None if the text is not a decimal number."""
+    try:
+        rate_per_s = float(text)
+    except ValueError:
+        return None
+    return rate_per_s if 0.0 <= rate_per_s < math.inf else None
+
+
 def _transport_failure(
     attempt: balance.Attempt, error: httpx.HTTPError, is_sent: bool
 ) -> attemptresult.AttemptResult:
--- a/tests/balance/factories.py
+++ b/tests/balance/factories.py
@@ -42,7 +42,7 @@
 def make_balancer(targets, cold_per_s=11.0, zones_out_of_service=(), seed=1):
     """Return the balancer of a host in ``LOCAL_ZONE`` with given targets."""
     balancer = balance.Balancer(
-        LOCAL_ZONE, lambda *_: None, random.Random(seed)
+        LOCAL_ZONE, lambda *_: None, random.Random(seed), lambda *_: None
     )
     balancer.update_targets(targets, zones_out_of_service, 0.0)
     balancer.update_services(
--- a/tests/platform/server.py
+++ b/tests/platform/server.py
@@ -107,6 +107,18 @@
     await stream.send(head(request, 200, len(body)) + body)
 
 
+def limited(text):
+    """Return a behavior that answers well and names a rate limit."""
+
+    async def behave(server, stream, request, headers):
+        server.ran.append(request)
+        body = f"{server.name} ran {request}".encode()
+        extra = [f"Server-Limit: {text}"]
+        await stream.send(head(request, 200, len(body), extra) + body)
+
+    return behave
+
+
 async def hang(server, stream, request, headers):
     """Run the request and never answer."""
     server.ran.append(request)
--- a/tests/platform/test_logs.py
+++ b/tests/platform/test_logs.py
@@ -51,6 +51,25 @@
     ]
 
 
+async def test_lines_tell_when_a_target_limits_its_rate(world):
+    with _captured_lines() as lines:
+        async with world.running(names=("s1",)):
+            for behavior in (
+                servers.limited("2.5"),
+                servers.limited("2.5"),
+                servers.limited("many"),
+                servers.answer,
+            ):
+                world.servers["s1"].behave = behavior
+                await world.get("/safe/")
+    assert [
+        (line["target"], line["limit_per_s"], line["source"])
+        for line in _lines_of_type(lines, "target:limit")
+    ] == [("s1", 2.5, "answer"), ("s1", None, "answer")]
+    (unreadable,) = _lines_of_type(lines, "target:limit_unreadable")
+    assert unreadable["text"] == "many"
+
+
 async def test_log_lines_contain_no_api_keys(world):
     with _captured_lines() as lines:
         async with world.running():
