Divide the rate limit that a target names among the hosts of its zone

Callers saw nothing of the fault: all was served, at the cost of targets that had said they could not take it.

Cause: the capacity of a target was that of its registry entry. Class: a constraint that the other side states in its answers is ignored, or kept by each host alone while it counts for the fleet.

Change: balance.TargetLimits. The hosts of the target's zone divide the limit by their load, and only hosts with a tenth of the largest load have a part; others send nothing. Active hosts report limits to their zone and to the active hosts of other zones. A signed answer without a limit ends it. Limited targets count in the queue with the slots that their rate keeps in use.

Why it works: the load of a zone's hosts is known from heartbeats, so shares add up to at most one without any further message; reports only tell who must not find out the limit by exceeding it.

Ruled out: a limit kept on each host alone (the hosts without callers of one zone sent 3.4/s of 1.2/s together); equal starting tokens (60 hosts sent 60 requests at once in the model, 48 allowed).

--- a/src/pomeloward/balance/balancer.py
+++ b/src/pomeloward/balance/balancer.py
@@ -13,6 +13,7 @@
 from pomeloward.balance import ratelimiter
 from pomeloward.balance import selection
 from pomeloward.balance import targethealth
+from pomeloward.balance import targetlimits
 from pomeloward.balance import targetstate
 
 # Slots of a target in another zone that are left to the hosts of that zone.
@@ -20,6 +21,7 @@
 # Above this ratio of a zone's slots in use, backup attempts take slots that
 # requests which can't be repeated would wait for.
 _BACKUP_MAX_USED_RATIO = 0.5
+_MEAN_RUN_GAIN = 0.05
 
 # Interval of reports of unhealthy targets to hosts of other zones.
 HEALTH_REPORT_INTERVAL_MS = 450.0
@@ -27,9 +29,6 @@
 _REPORT_LIFETIME_MS = 3 * HEALTH_REPORT_INTERVAL_MS
 
 OnSuspicionChange = collections.abc.Callable[[replica.Target, str, bool], None]
-OnRateLimitChange = collections.abc.Callable[
-    [replica.Target, float | None, str], None
-]
 
 
 class Balancer:
@@ -55,19 +54,18 @@
         zone: model.ZoneId,
         on_suspicion_change: OnSuspicionChange,
         rng: random.Random,
-        on_rate_limit_change: OnRateLimitChange,
+        target_limits: targetlimits.TargetLimits,
     ) -> None:
         """Create a balancer without targets for a host in ``zone``.
 
         ``on_suspicion_change`` is called with a target, the reason, and
-        whether the target is suspected now. ``on_rate_limit_change`` is
-        called with a target, the limit in requests per second that it now
-        names, if any, and the source of this knowledge.
+        whether the target is suspected now. ``target_limits`` are the rate
+        limits that targets name.
         """
         self._zone = zone
         self._rng = rng
         self._on_suspicion_change = on_suspicion_change
-        self._on_rate_limit_change = on_rate_limit_change
+        self._target_limits = target_limits
         self._target_states: dict[
             model.ServiceId, dict[model.TargetId, targetstate.TargetState]
         ] = {}
@@ -75,6 +73,8 @@
         self._latency_estimators: dict[
             model.RouteId, latency.LatencyEstimator
         ] = {}
+        # Smoothed time that an attempt uses a slot of the service's targets.
+        self._mean_run_ms: dict[model.ServiceId, float] = {}
         self._is_active = True
         self._zone_host_count = 1
         # Zones without hosts, whose cold targets get requests from this host.
@@ -92,7 +92,7 @@
         ] = {}
         for target in targets:
             state = self._target_states.get(target.service, {}).get(target.id)
-            if state is None or _has_restarted(state.target, target):
+            if state is None or target.has_restarted_since(state.target):
                 state = targetstate.TargetState(
                     target,
                     targethealth.TargetHealth(now_ms),
@@ -105,6 +105,11 @@
             state.is_zone_out_of_service = is_out_of_service
             states.setdefault(target.service, {})[target.id] = state
         self._target_states = states
+        self._target_limits.update_targets(
+            state.target
+            for service_states in states.values()
+            for state in service_states.values()
+        )
 
     def update_services(
         self, services: collections.abc.Iterable[policies.Service]
@@ -145,7 +150,8 @@
 
         These are its share of the slots of healthy targets in its zone, and
         the slots that it uses at healthy targets of other zones, whose own
-        hosts may need the rest. If all targets are unhealthy the number is
+        hosts may need the rest. A target that limits its rate has as many as
+        that rate keeps in use. If all targets are unhealthy the number is
         1, without targets it is 0.
         """
         eligible = [
@@ -153,14 +159,17 @@
             for state in self._target_states.get(service_id, {}).values()
             if state.is_eligible
         ]
-        slots = 0
+        slots = 0.0
         for state in eligible:
             if state.is_unhealthy(now_ms):
                 continue
             is_local = state.target.zone == self._zone
             used_slots = len(state.health.open_attempts)
-            slots += self._slot_share(state.target) if is_local else used_slots
-        return max(slots, min(1, len(eligible)))
+            target_slots = (
+                self._slot_share(state.target) if is_local else used_slots
+            )
+            slots += min(target_slots, self._slots_at_limit(state.target))
+        return max(math.ceil(slots), min(1, len(eligible)))
 
     def has_target_besides(
         self,
@@ -179,11 +188,14 @@
         """Tell whether this zone's targets have room for backup attempts.
 
         An inactive host has none: its requests would need new connections.
+        Targets that limit their rate have none either.
         """
         local = [
             state
             for state in self._target_states.get(service_id, {}).values()
-            if state.is_eligible and state.target.zone == self._zone
+            if state.is_eligible
+            and state.target.zone == self._zone
+            and self._target_limits.share_per_s(state.target.id) is None
         ]
         slots = sum(state.target.slots for state in local)
         used_slots = sum(len(state.health.open_attempts) for state in local)
@@ -272,6 +284,7 @@
         )
         selected.health.start_attempt(attempt, now_ms)
         selected.rate_limiter.record_start(now_ms)
+        self._target_limits.record_start(selected.target.id, now_ms)
         return attempt
 
     def end_attempt(
@@ -283,8 +296,11 @@
     ) -> None:
         """Release the slot of an attempt and update latency and health."""
         if outcome is outcomes.Outcome.OK:
-            self.latency_estimator(route).add_sample(
-                now_ms - attempt.started_at_ms
+            took_ms = now_ms - attempt.started_at_ms
+            self.latency_estimator(route).add_sample(took_ms)
+            mean_ms = self._mean_run_ms.get(attempt.service_id, took_ms)
+            self._mean_run_ms[attempt.service_id] = (
+                mean_ms + (took_ms - mean_ms) * _MEAN_RUN_GAIN
             )
         state = self._target_states.get(attempt.service_id, {}).get(
             attempt.target_id
@@ -302,29 +318,6 @@
                 state.health.is_suspected,
             )
 
-    def record_rate_limit(
-        self,
-        attempt: attempts.Attempt,
-        limit_per_s: float | None,
-        now_ms: float,
-    ) -> None:
-        """Record the rate limit that a target's answer names, None if none."""
-        state = self._target_states.get(attempt.service_id, {}).get(
-            attempt.target_id
-        )
-        if state is None or state.named_limit_per_s == limit_per_s:
-            return
-        state.named_limit_per_s = limit_per_s
-        self._on_rate_limit_change(state.target, limit_per_s, "answer")
-
-    def limited_target_count(self) -> int:
-        """Return how many targets name a rate limit."""
-        return sum(
-            state.named_limit_per_s is not None
-            for service_states in self._target_states.values()
-            for state in service_states.values()
-        )
-
     def _trial_policy(self, is_repeatable: bool) -> selection.TrialPolicy:
         if not self._is_active:
             return selection.TrialPolicy.NONE
@@ -346,6 +339,8 @@
             slot_limit = max(1, target.slots - _RESERVED_REMOTE_SLOTS)
         if len(health.open_attempts) >= slot_limit:
             return False
+        if not self._target_limits.allows_start(target.id, now_ms):
+            return False
         if not target.is_cold and not health.may_be_cold(now_ms):
             return True
         service = self._services.get(target.service)
@@ -363,9 +358,10 @@
         """Return this host's share of the slots of a target in its zone."""
         return math.ceil(target.slots / self._zone_host_count)
 
-
-def _has_restarted(known: replica.Target, target: replica.Target) -> bool:
-    return (
-        known.started_ms != target.started_ms
-        or known.address != target.address
-    )
+    def _slots_at_limit(self, target: replica.Target) -> float:
+        """Return how many slots this host's share of a rate limit uses."""
+        share_per_s = self._target_limits.share_per_s(target.id)
+        mean_run_ms = self._mean_run_ms.get(target.service)
+        if share_per_s is None or mean_run_ms is None:
+            return math.inf
+        return share_per_s * mean_run_ms / 1_000
--- a/src/pomeloward/balance/messages.py
+++ b/src/pomeloward/balance/messages.py
@@ -1,5 +1,7 @@
 """Messages between hosts about the health of targets."""
 
+import msgspec
+
 from pomeloward import model
 from pomeloward import peer
 
@@ -11,3 +13,19 @@
     """
 
     targets: tuple[model.TargetId, ...]
+
+
+class TargetLimit(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """The requests per second that a target takes from all hosts together."""
+
+    target: model.TargetId
+    limit_per_s: float
+
+
+class TargetLimitReport(peer.Message, frozen=True, tag="balance_limits"):
+    """Limits that targets have named to the sender or, in its zone, to others.
+
+    They are valid until a few reports of the sender are missing.
+    """
+
+    limits: tuple[TargetLimit, ...]
--- a/src/pomeloward/balance/targetstate.py
+++ b/src/pomeloward/balance/targetstate.py
@@ -13,8 +13,7 @@
 
     ``is_misplaced`` tells that another server listens at its address. Until
     ``reported_until_ms`` a report of another host in the target's zone
-    says that the target is unhealthy. ``named_limit_per_s`` is the rate limit
-    in its last answer, None if it named none.
+    says that the target is unhealthy.
     """
 
     target: replica.Target
@@ -23,7 +22,6 @@
     is_zone_out_of_service: bool = False
     is_misplaced: bool = False
     reported_until_ms: float = float("-inf")
-    named_limit_per_s: float | None = None
 
     @property
     def is_eligible(self) -> bool:
--- a/src/pomeloward/edge/fleetsync.py
+++ b/src/pomeloward/edge/fleetsync.py
@@ -31,9 +31,10 @@
         rate_limiter: quota.TeamRateLimiter,
         retry_budgets: retry.ServiceRetryBudgets,
         balancer: balance.Balancer,
+        target_limits: balance.TargetLimits,
         current_bounds: collections.abc.Callable[[], settings.OperatorBounds],
     ) -> None:
-        """Register the handlers of both kinds of reports with ``peers``.
+        """Register the handlers of all kinds of reports with ``peers``.
 
         ``current_bounds`` returns the bounds of the latest settings.
         """
@@ -42,17 +43,23 @@
         self._rate_limiter = rate_limiter
         self._retry_budgets = retry_budgets
         self._balancer = balancer
+        self._target_limits = target_limits
         self._current_bounds = current_bounds
         self._zone_report_tracker = quota.ZoneReportTracker(
             membership.own_member.zone
         )
         self._health_reported_ms = float("-inf")
+        self._limits_reported_ms = float("-inf")
+        self._reported_limits: tuple[balance.TargetLimit, ...] = ()
         self._is_idle = False
         self._woken = anyio.Event()
         peers.register_handler(quota.UsageReport, self._handle_usage_report)
         peers.register_handler(
             balance.UnhealthyTargets, self._handle_unhealthy_targets
         )
+        peers.register_handler(
+            balance.TargetLimitReport, self._handle_target_limits
+        )
 
     async def run(self) -> None:
         """Synchronize at each report interval, until cancelled.
@@ -102,6 +109,7 @@
         self._is_idle = not is_active and not usage_report.teams
         if is_active:
             self._report_unhealthy_targets(all_active_members, now_ms)
+            self._report_target_limits(all_active_members, now_ms)
         bounds = self._current_bounds()
         host_count = max(len(all_active_members), membership.zone_count)
         # A host that is still starting may become one of the active ones.
@@ -112,8 +120,13 @@
             host_count,
             is_active or is_starting,
         )
+        adopted_zones = self._adopted_zones(now_ms)
         self._balancer.update_active_hosts(
-            is_active, len(zone_active_members), self._adopted_zones(now_ms)
+            is_active, len(zone_active_members), adopted_zones
+        )
+        self._target_limits.expire(now_ms)
+        self._target_limits.update_share(
+            membership.own_load_ratio(now_ms), adopted_zones
         )
 
     def _report_unhealthy_targets(
@@ -136,6 +149,51 @@
                 report = balance.UnhealthyTargets(targets=target_ids)
                 self._peers.notify(member.host, report)
 
+    def _report_target_limits(
+        self,
+        all_active_members: collections.abc.Iterable[fleet.Member],
+        now_ms: float,
+    ) -> None:
+        """Report the rate limits that targets of this zone have named.
+
+        All hosts of the zone get them, with those of other zones, since any
+        host may get requests; in other zones only the active hosts.
+        """
+        limits = self._target_limits.answered_limits()
+        is_due = (
+            now_ms - self._limits_reported_ms
+            >= balance.LIMIT_REPORT_INTERVAL_MS
+        )
+        relayed_limits = self._target_limits.relayed_limits()
+        if not limits and not relayed_limits:
+            return
+        if not is_due and limits == self._reported_limits:
+            return
+        self._limits_reported_ms = now_ms
+        self._reported_limits = limits
+        own_member = self._membership.own_member
+        for member in self._membership.live_members(own_member.zone, now_ms):
+            if member.host != own_member.host:
+                self._peers.notify(
+                    member.host,
+                    balance.TargetLimitReport(limits=limits + relayed_limits),
+                )
+        for member in all_active_members:
+            if member.zone != own_member.zone and limits:
+                self._peers.notify(
+                    member.host, balance.TargetLimitReport(limits=limits)
+                )
+
+    def _handle_target_limits(
+        self, sender: model.HostId, message: peer.Message, now_ms: float
+    ) -> None:
+        """Apply a report of limits unless the sender's zone is unknown."""
+        zone = self._membership.zone_of(sender)
+        if isinstance(message, balance.TargetLimitReport) and zone is not None:
+            self._target_limits.apply_report(
+                sender, zone, message.limits, now_ms
+            )
+
     def _handle_unhealthy_targets(
         self, sender: model.HostId, message: peer.Message, now_ms: float
     ) -> None:
--- a/src/pomeloward/edge/hostcomponents.py
+++ b/src/pomeloward/edge/hostcomponents.py
@@ -99,11 +99,14 @@
         self._rate_limiter = quota.TeamRateLimiter(
             host_settings.is_first_start
         )
+        target_limits = balance.TargetLimits(
+            host_settings.zone, logevents.log_target_limit, rng
+        )
         self._balancer = balance.Balancer(
             host_settings.zone,
             logevents.log_target_suspicion,
             rng,
-            logevents.log_target_rate_limit,
+            target_limits,
         )
         self._admission_control = relay.AdmissionControl(self._rate_limiter)
         self.slot_allocator = relay.SlotAllocator(self._balancer)
@@ -116,8 +119,8 @@
             self.target_links,
             http_conventions,
             self._max_connections_per_target,
-            lambda attempt, limit_per_s: self._balancer.record_rate_limit(
-                attempt, limit_per_s, model.now_ms()
+            lambda target_id, limit_per_s: target_limits.record_answer(
+                target_id, limit_per_s, model.now_ms()
             ),
         )
         self.app = relay.Application(
@@ -138,6 +141,7 @@
             self._rate_limiter,
             retry_budgets,
             self._balancer,
+            target_limits,
             current_bounds,
         )
         self.open_requests.on_started = self.fleet_sync.wake
@@ -149,7 +153,7 @@
         )
         self.metrics.register_gauge(
             "pomeloward_limited_targets",
-            self._balancer.limited_target_count,
+            lambda: target_limits.limited_count,
         )
 
     def caller_timeouts(self) -> entry.CallerTimes:
--- a/src/pomeloward/edge/logevents.py
+++ b/src/pomeloward/edge/logevents.py
@@ -20,13 +20,14 @@
     )
 
 
-def log_target_rate_limit(
+def log_target_limit(
     target: replica.Target, limit_per_s: float | None, source: str
 ) -> None:
     """Log the rate limit that a target names, None when it names none.
 
-    ``source`` is ``answer`` for one of the target's answers to this host, or
-    the host that reported the limit.
+    ``source`` is ``answer`` for one of the target's answers to this host, the
+    host that reported the limit, or ``expired`` if nothing has confirmed it
+    for long.
     """
     eliot.log_message(
         message_type="target:limit",
--- a/src/pomeloward/fleet/membership.py
+++ b/src/pomeloward/fleet/membership.py
@@ -23,6 +23,9 @@
 _SEED_DISCOVERY_INTERVAL_MS = 2_000.0
 # Allows for a rise of the load until callers ask for addresses again.
 _CAPACITY_HEADROOM_RATIO = 1.5
+# A host with less than this part of the largest load in its zone gets only
+# requests of callers that still have an earlier address answer.
+_MIN_LOAD_RATIO = 0.1
 # Older news say only that a host is not live.
 _MAX_REPORT_AGE_MS = 3_600_000
 
@@ -156,6 +159,29 @@
                 break
         return active
 
+    def own_load_ratio(self, now_ms: float) -> float:
+        """Return this host's part of the load of its zone, 0 to 1.
+
+        Hosts with little load compared to another one have no part, so that
+        few hosts divide what is scarce. Without any load the active hosts
+        have equal parts.
+        """
+        own_zone = self.own_member.zone
+        live = self.live_members(own_zone, now_ms)
+        max_load_per_s = max(member.load_per_s for member in live)
+        if max_load_per_s > 0:
+            loaded = [
+                member
+                for member in live
+                if member.load_per_s >= max_load_per_s * _MIN_LOAD_RATIO
+            ]
+            weights = {member.host: member.load_per_s for member in loaded}
+        else:
+            active = self.active_members(own_zone, now_ms)
+            weights = {member.host: 1 for member in active}
+        own_weight = weights.get(self.own_member.host, 0)
+        return own_weight / max(1, sum(weights.values()))
+
     def members_for_callers(
         self, zone: model.ZoneId, now_ms: float
     ) -> list[members.Member]:
--- a/src/pomeloward/relay/targetclient.py
+++ b/src/pomeloward/relay/targetclient.py
@@ -31,7 +31,7 @@
 Headers = dispatch.Headers
 # Called with each answer that tells whether its target limits its rate; the
 # limit is None if the target names none.
-OnRateLimit = collections.abc.Callable[[balance.Attempt, float | None], None]
+OnRateLimit = collections.abc.Callable[[model.TargetId, float | None], None]
 
 
 class _RequestBodyStream(httpx.AsyncByteStream):
@@ -211,7 +211,7 @@
         text = headers.get(conventions.rate_limit_header)
         if text is None:
             if conventions.signature_header in headers:
-                self._on_rate_limit(attempt, None)
+                self._on_rate_limit(attempt.target_id, None)
             return
         limit_per_s = _parse_rate(text)
         if limit_per_s is None:
@@ -221,7 +221,7 @@
                 text=text[:_MAX_LOGGED_BYTES].decode("latin-1"),
             )
             return
-        self._on_rate_limit(attempt, limit_per_s)
+        self._on_rate_limit(attempt.target_id, limit_per_s)
 
     @staticmethod
     async def _record_not_run(
--- a/src/pomeloward/replica/target.py
+++ b/src/pomeloward/replica/target.py
@@ -27,3 +27,13 @@
     def url(self) -> str:
         """The base URL of the target."""
         return f"http://{self.address}"
+
+    def has_restarted_since(self, known: "Target") -> bool:
+        """Tell whether this is another start of the target than a known one.
+
+        A target at another address counts as another start.
+        """
+        return (
+            known.started_ms != self.started_ms
+            or known.address != self.address
+        )
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -413,3 +413,28 @@
     simulation.start_host("a", first)
     simulation.run(1_000)
     assert first in live_hosts()
+
+
+def test_hosts_with_little_load_have_no_part_of_what_is_scarce():
+    """Many hosts without callers each took a request of a limited target."""
+    fleets = FleetSimulation({"a": 8, "b": 2})
+    for host, load_per_s in zip(
+        [host for host in fleets.memberships if host.startswith("10.0")],
+        (40, 20, 5, 3, 1, 1, 0, 0),
+        strict=True,
+    ):
+        membership = fleets.memberships[host]
+        membership.own_member = msgspec.structs.replace(
+            membership.own_member, load_per_s=load_per_s
+        )
+    fleets.run(3_000.0)
+    ratios = [
+        fleets.memberships[f"10.0.0.{index}:80"].own_load_ratio(fleets.now_ms)
+        for index in range(8)
+    ]
+    assert ratios == [40 / 65, 20 / 65, 5 / 65, 0, 0, 0, 0, 0]
+    idle_ratios = [
+        fleets.memberships[f"10.1.0.{index}:80"].own_load_ratio(fleets.now_ms)
+        for index in range(2)
+    ]
+    assert idle_ratios == [1.0, 0.0]
