Log a restored store, and what is read from it but not applied

Cause: the era that the store names in its answers was not read, and a change that merging dropped left no trace, so logs could not tell a change that was never received from one that was received and dropped.

Change: the store client reads the era with each answer; a rise is logged as store:restored with both revisions. What a read returns, but the replica does not hold afterwards, is logged as store:not_applied with both revisions. No decision uses the era yet. The tests' store can go back to a copy of itself.

--- a/src/pomeloward/platform/httpstoreclient.py
+++ b/src/pomeloward/platform/httpstoreclient.py
@@ -26,6 +26,8 @@
 # were made since the given revision.
 _WATCH_WAIT_MS = 1
 _MAX_PAGES_PER_PREFIX = 100
+# Counts how often the store has come back from an older copy of itself.
+_ERA_HEADER = "store-era"
 
 
 class _Item(msgspec.Struct, rename="kebab"):
@@ -78,6 +80,7 @@
         Raises ``PlatformUnavailable``.
         """
         revision: int | None = None
+        era = 0
         items: list[_Item] = []
         for prefix in _SNAPSHOT_PREFIXES:
             last_key = ""
@@ -85,7 +88,9 @@
                 query = {"prefix": prefix}
                 if last_key:
                     query["after"] = last_key
-                page = await self._fetch("/kv-range", query, _RANGE_DECODER)
+                page, era = await self._fetch(
+                    "/kv-range", query, _RANGE_DECODER
+                )
                 if revision is None:
                     revision = page.current_rev
                 items.extend(page.items)
@@ -93,7 +98,7 @@
                     break
                 last_key = page.items[-1].key
         return replica.ReadResult(
-            revision or 0, _decode_changes(items), is_snapshot=True
+            revision or 0, _decode_changes(items), is_snapshot=True, era=era
         )
 
     async def read_changes_after(self, revision: int) -> replica.ReadResult:
@@ -107,11 +112,12 @@
             "after": str(revision),
             "wait-ms": str(_WATCH_WAIT_MS),
         }
-        response = await self._fetch("/kv-watch", query, _WATCH_DECODER)
+        response, era = await self._fetch("/kv-watch", query, _WATCH_DECODER)
         return replica.ReadResult(
             max(revision, response.current_rev),
             _decode_changes(response.events),
             is_snapshot=False,
+            era=era,
         )
 
     async def _fetch(
@@ -119,8 +125,8 @@
         path: str,
         query: dict[str, str],
         decoder: msgspec.json.Decoder[_T],
-    ) -> _T:
-        """Return the decoded response to a GET request."""
+    ) -> tuple[_T, int]:
+        """Return the decoded response to a GET request and the store's era."""
         if self._client is None:
             self._client = httpx.AsyncClient(trust_env=False, timeout=None)
         try:
@@ -139,8 +145,14 @@
                 f"{path} returned status {response.status_code}"
             )
         try:
-            return decoder.decode(response.content)
-        except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
+            era = int(response.headers.get(_ERA_HEADER, "0"))
+            return decoder.decode(response.content), era
+        except (
+            msgspec.MsgspecError,
+            UnicodeError,
+            RecursionError,
+            ValueError,
+        ) as error:
             raise model.PlatformUnavailable(
                 f"invalid response from {path}: {error}"
             ) from error
--- a/src/pomeloward/replica/replica.py
+++ b/src/pomeloward/replica/replica.py
@@ -50,6 +50,14 @@
         """Return the newest change of each key."""
         return tuple(self._newest_changes.values())
 
+    def newest_change(self, key: str) -> changes.Change | None:
+        """Return the newest change of a key, None if there is none."""
+        return self._newest_changes.get(key)
+
+    def has_content(self, change: changes.Change) -> bool:
+        """Tell whether the content of a change is that of its key here."""
+        return _content_hash(change) == self._content_hashes.get(change.key, 0)
+
     def merge(
         self, received: collections.abc.Iterable[changes.Change]
     ) -> tuple[changes.Change, ...]:
--- a/src/pomeloward/replica/storepoller.py
+++ b/src/pomeloward/replica/storepoller.py
@@ -59,6 +59,7 @@
         self._deferred_removals: dict[str, changes.TargetRemoval] = {}
         self._defer_removals_until_ms = 0.0
         self._is_store_unavailable = False
+        self._era: int | None = None
 
     async def run(self) -> None:
         """Read the store whenever the schedule says so, until cancelled."""
@@ -94,6 +95,7 @@
                 message_type="store:regained", revision=result.revision
             )
         self._record_read_time(ended_ms)
+        self._record_era(result)
         self._merge_result(result)
         self._schedule.record_success(now_ms, ended_ms)
 
@@ -117,6 +119,18 @@
             self._defer_removals_until_ms = now_ms + REREGISTRATION_GRACE_MS
         self._last_read_ms = now_ms
 
+    def _record_era(self, result: readresults.ReadResult) -> None:
+        """Log when the store has come back from an older copy."""
+        if self._era is not None and result.era != self._era:
+            eliot.log_message(
+                message_type="store:restored",
+                era=result.era,
+                former_era=self._era,
+                revision=result.revision,
+                former_revision=self._revision,
+            )
+        self._era = result.era
+
     def _merge_result(self, result: readresults.ReadResult) -> None:
         received = result.changes
         if result.is_snapshot:
@@ -134,8 +148,27 @@
         for change in received:
             self._deferred_removals.pop(change.key, None)
         self._replicator.merge_and_forward(received)
+        self._log_differences(received)
         self._revision = result.revision
 
+    def _log_differences(
+        self, received: collections.abc.Iterable[changes.Change]
+    ) -> None:
+        """Log what was read from the store but is not what the replica holds.
+
+        The replica then has a newer state, from another host or from before
+        the store was restored.
+        """
+        for change in received:
+            known = self._replica.newest_change(change.key)
+            if known is not None and not self._replica.has_content(change):
+                eliot.log_message(
+                    message_type="store:not_applied",
+                    key=change.key,
+                    revision=change.revision,
+                    known_revision=known.revision,
+                )
+
     def _defers_removal(self, change: changes.Change) -> bool:
         """Defer a target's removal; return whether the change is one."""
         if isinstance(change, changes.TargetRemoval):
--- a/standins/asgi.py
+++ b/standins/asgi.py
@@ -40,10 +40,16 @@
     await send({"type": "http.response.body", "body": body})
 
 
-async def answer_json(send: Send, value: object, status: int = 200) -> None:
+async def answer_json(
+    send: Send,
+    value: object,
+    status: int = 200,
+    headers: collections.abc.Iterable[tuple[str, str]] = (),
+) -> None:
     """Send a value as JSON."""
     body = json.dumps(value).encode()
-    await answer(send, status, body, [("content-type", "application/json")])
+    content_type = ("content-type", "application/json")
+    await answer(send, status, body, [content_type, *headers])
 
 
 async def run_lifespan(receive: Receive, send: Send) -> None:
--- a/tests/platform/store.py
+++ b/tests/platform/store.py
@@ -12,7 +12,7 @@
     """Answers range and watch calls, with faults that tests switch on.
 
     ``is_away`` answers 503, ``is_silent`` never answers, and ``compact``
-    forgets the history.
+    forgets the history. ``restore`` goes back to the last ``keep_copy``.
     """
 
     def __init__(self):
@@ -24,6 +24,8 @@
         self.is_silent = False
         self.calls = 0
         self.page_items = 500
+        self.era = 1
+        self.copy = None
 
     def put(self, key, value):
         payload = value if isinstance(value, bytes) else _encode(value)
@@ -49,6 +51,16 @@
         self.events.clear()
         self.first = self.revision
 
+    def keep_copy(self):
+        self.copy = (self.revision, dict(self.items), list(self.events))
+
+    def restore(self):
+        """Lose what was written since the copy; revisions are reused."""
+        revision, items, events = self.copy
+        self.revision, self.items = revision, dict(items)
+        self.events = list(events)
+        self.era += 1
+
     async def __call__(self, scope, receive, send):
         if scope["type"] == "lifespan":
             await asgi.run_lifespan(receive, send)
@@ -57,7 +69,7 @@
         if self.is_silent:
             await anyio.sleep_forever()
         if self.is_away:
-            await asgi.answer(send, 503)
+            await self._refuse(send, 503)
             return
         query = asgi.query(scope)
         if scope["path"] == "/kv-range":
@@ -65,7 +77,7 @@
         elif scope["path"] == "/kv-watch":
             await self._watch(query, send)
         else:
-            await asgi.answer(send, 404)
+            await self._refuse(send, 404)
 
     async def _range(self, query, send):
         prefix = query["prefix"].replace("%2F", "/")
@@ -81,18 +93,27 @@
                 "has-more": len(keys) > len(page),
                 "current-rev": self.revision,
             },
+            headers=self._headers(),
         )
 
     async def _watch(self, query, send):
         after = int(query["after"])
-        if after < self.first:
-            await asgi.answer(send, 410)
+        if not self.first <= after <= self.revision:
+            await self._refuse(send, 410)
             return
         events = [e for e in self.events if e["revision"] > after]
         await asgi.answer_json(
-            send, {"events": events, "current-rev": self.revision}
+            send,
+            {"events": events, "current-rev": self.revision},
+            headers=self._headers(),
         )
 
+    async def _refuse(self, send, status):
+        await asgi.answer(send, status, headers=self._headers())
+
+    def _headers(self):
+        return [("Store-Era", str(self.era))]
+
 
 def _encode(value):
     return json.dumps(value).encode()
