Order changes by the store's era and revision, and doubt copied entries

Callers with a key of a version that was published after the store had been restored got 401, those on its routes 404 or the former service.

Cause: the replica kept the change with the largest revision of each key. Class: a number of another system is used as an order beyond the time in which that system guarantees it.

Configurations are compared by version only. An entry of a new era that is not newer than what its target last reported, by its start and report number, is a copy and does not apply: a target that drained or left stays so. What the copy lacks is kept for 2 s, zones out for 5 s, then removed everywhere. store:not_applied is written for the newest change of a key in a read only.

Why it works: every change of the restored store is larger than all before, on all hosts and in all messages, and what could undo a confirmed change is told by the target's own count, which no restoration changes.

Ruled out: that hosts went back to the copy's version (no configuration line of an older version), that the reader never received the change (store:not_applied names it).

--- a/src/pomeloward/platform/httpstoreclient.py
+++ b/src/pomeloward/platform/httpstoreclient.py
@@ -77,7 +77,8 @@
     async def read_snapshot(self) -> replica.ReadResult:
         """Return everything in the store, at the first page's revision.
 
-        Raises ``PlatformUnavailable``.
+        Raises ``PlatformUnavailable``, also when the store is restored
+        between two pages.
         """
         revision: int | None = None
         era = 0
@@ -88,36 +89,44 @@
                 query = {"prefix": prefix}
                 if last_key:
                     query["after"] = last_key
-                page, era = await self._fetch(
+                page, page_era = await self._fetch(
                     "/kv-range", query, _RANGE_DECODER
                 )
                 if revision is None:
-                    revision = page.current_rev
+                    revision, era = page.current_rev, page_era
+                elif page_era != era:
+                    raise model.PlatformUnavailable(
+                        f"store went from era {era} to {page_era} meanwhile"
+                    )
                 items.extend(page.items)
                 if not page.has_more or not page.items:
                     break
                 last_key = page.items[-1].key
         return replica.ReadResult(
-            revision or 0, _decode_changes(items), is_snapshot=True, era=era
+            replica.make_revision(era, revision or 0),
+            _decode_changes(items, era),
+            is_snapshot=True,
         )
 
     async def read_changes_after(self, revision: int) -> replica.ReadResult:
         """Return the changes after a revision.
 
-        Raises ``HistoryGone`` if the store no longer has all of them, and
-        ``PlatformUnavailable``.
+        Raises ``HistoryGone`` if the store no longer has all of them or has
+        been restored, and ``PlatformUnavailable``.
         """
         query = {
             "prefix": "",
-            "after": str(revision),
+            "after": str(replica.number_of(revision)),
             "wait-ms": str(_WATCH_WAIT_MS),
         }
         response, era = await self._fetch("/kv-watch", query, _WATCH_DECODER)
+        if era != replica.era_of(revision):
+            # The store may have given out the revisions since its copy again.
+            raise replica.HistoryGone(f"store is in era {era}")
         return replica.ReadResult(
-            max(revision, response.current_rev),
-            _decode_changes(response.events),
+            max(revision, replica.make_revision(era, response.current_rev)),
+            _decode_changes(response.events, era),
             is_snapshot=False,
-            era=era,
         )
 
     async def _fetch(
@@ -158,16 +167,20 @@
             ) from error
 
 
-def _decode_changes(items: list[_Item]) -> tuple[replica.Change, ...]:
+def _decode_changes(
+    items: list[_Item], era: int
+) -> tuple[replica.Change, ...]:
     changes = []
     for item in items:
-        change = _decode_change(item)
+        change = _decode_change(
+            item, replica.make_revision(era, item.revision)
+        )
         if change is not None:
             changes.append(change)
     return tuple(changes)
 
 
-def _decode_change(item: _Item) -> replica.Change | None:
+def _decode_change(item: _Item, revision: int) -> replica.Change | None:
     """Return the change that an item stands for.
 
     Returns None for other keys, a removed configuration or an invalid one.
@@ -176,38 +189,37 @@
     if key.startswith(_TARGETS_PREFIX):
         target_id = model.TargetId(key[len(_TARGETS_PREFIX) :])
         if item.deleted:
-            return replica.TargetRemoval(item.revision, target_id)
-        return _decode_target_change(item, target_id)
+            return replica.TargetRemoval(revision, target_id)
+        return _decode_target_change(item, revision, target_id)
     if key.startswith(_ZONES_OUT_PREFIX):
         zone = model.ZoneId(key[len(_ZONES_OUT_PREFIX) :])
-        return replica.ZoneChange(item.revision, zone, not item.deleted)
+        return replica.ZoneChange(revision, zone, not item.deleted)
     if key == _CONFIGURATION_KEY and not item.deleted:
-        return _decode_policy_change(item)
+        return _decode_policy_change(item, revision)
     return None
 
 
 def _decode_target_change(
-    item: _Item, target_id: model.TargetId
+    item: _Item, revision: int, target_id: model.TargetId
 ) -> replica.Change:
     try:
-        target = targetentry.decode_target_entry(
-            target_id, _decode_value(item)
+        return targetentry.decode_target_entry(
+            target_id, _decode_value(item), revision
         )
     except model.ConfigurationError as error:
         eliot.log_message(message_type="store:unreadable", reason=str(error))
         # An invalid entry gives no target that requests can be sent to.
-        return replica.TargetRemoval(item.revision, target_id)
-    return replica.TargetChange(item.revision, target)
+        return replica.TargetRemoval(revision, target_id)
 
 
-def _decode_policy_change(item: _Item) -> replica.Change | None:
+def _decode_policy_change(item: _Item, revision: int) -> replica.Change | None:
     """Return the new policy, or None if the configuration is invalid."""
     try:
         policy = configuration.decode_configuration(_decode_value(item))
     except model.ConfigurationError as error:
         eliot.log_message(message_type="store:unreadable", reason=str(error))
         return None
-    return replica.PolicyChange(item.revision, policy)
+    return replica.PolicyChange(revision, policy)
 
 
 def _decode_value(item: _Item) -> bytes:
--- a/src/pomeloward/platform/targetentry.py
+++ b/src/pomeloward/platform/targetentry.py
@@ -20,15 +20,17 @@
     warmup_left_s: float = 0.0
     # Unix time of the target's start, in ms.
     born: int = 0
+    # Counts the target's reports since its start.
+    sequence: int = 0
 
 
 _DECODER = msgspec.json.Decoder(_TargetEntry)
 
 
 def decode_target_entry(
-    target_id: model.TargetId, payload: bytes
-) -> replica.Target:
-    """Return the target that a JSON entry describes.
+    target_id: model.TargetId, payload: bytes, revision: int
+) -> replica.TargetChange:
+    """Return the change to the target that a JSON entry describes.
 
     Raises ``ConfigurationError`` for an entry that lacks a field, has one of
     another type, or has an address or a state that is not valid.
@@ -49,7 +51,7 @@
             f"entry of {target_id}: unknown state {entry.state!r} or "
             "empty service"
         )
-    return replica.Target(
+    target = replica.Target(
         id=target_id,
         service=model.ServiceId(entry.service),
         address=entry.address,
@@ -59,3 +61,4 @@
         is_cold=entry.warmup_left_s > 0,
         started_ms=entry.born,
     )
+    return replica.TargetChange(revision, target, entry.sequence)
--- a/src/pomeloward/replica/__init__.py
+++ b/src/pomeloward/replica/__init__.py
@@ -12,6 +12,9 @@
 from pomeloward.replica.readschedule import ReadSchedule as ReadSchedule
 from pomeloward.replica.replica import Replica as Replica
 from pomeloward.replica.replicator import Replicator as Replicator
+from pomeloward.replica.revision import era_of as era_of
+from pomeloward.replica.revision import make_revision as make_revision
+from pomeloward.replica.revision import number_of as number_of
 from pomeloward.replica.storeclient import HistoryGone as HistoryGone
 from pomeloward.replica.storeclient import StoreClient as StoreClient
 from pomeloward.replica.storepoller import StorePoller as StorePoller
--- a/src/pomeloward/replica/readresult.py
+++ b/src/pomeloward/replica/readresult.py
@@ -10,10 +10,8 @@
     """Changes up to a revision of the store.
 
     A snapshot lists everything that exists; what it omits was removed.
-    ``era`` rises each time the store comes back from an older copy.
     """
 
     revision: int
     changes: tuple[change.Change, ...]
     is_snapshot: bool
-    era: int = 0
--- a/src/pomeloward/replica/replica.py
+++ b/src/pomeloward/replica/replica.py
@@ -8,6 +8,8 @@
 from pomeloward import model
 from pomeloward import policy as policies
 from pomeloward.replica import change as changes
+from pomeloward.replica import precedence
+from pomeloward.replica import revision as revisions
 from pomeloward.replica import target as targets
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -16,10 +18,10 @@
 class Replica:
     """Merges changes from the store and from other hosts.
 
-    Merging is commutative: each key keeps the change with the largest
-    revision, and removed targets leave a tombstone. A configuration is never
-    replaced by an older version, whatever its revision. ``digest`` is the
-    same on two hosts with the same state.
+    Merging is commutative: each key keeps the change that applies by
+    ``precedence``, and removed targets leave a tombstone. A configuration is
+    never replaced by an older version, whatever its revision. ``digest`` is
+    the same on two hosts with the same state.
     """
 
     def __init__(self) -> None:
@@ -30,6 +32,14 @@
         # The newest version of the operators' configuration, if known.
         self.policy: policies.Policy | None = None
 
+    @property
+    def largest_revision(self) -> int:
+        """The largest revision of a change known here, 0 without any."""
+        return max(
+            (change.revision for change in self._newest_changes.values()),
+            default=0,
+        )
+
     def targets(self) -> list[targets.Target]:
         """Return all registered targets, including those that drain."""
         return [
@@ -63,7 +73,9 @@
     ) -> tuple[changes.Change, ...]:
         """Merge changes; return those whose content was new here."""
         return tuple(
-            change for change in received if self._merges_new_content(change)
+            self._newest_changes[change.key]
+            for change in received
+            if self._merges_new_content(change)
         )
 
     def implied_removals(
@@ -88,16 +100,33 @@
                 )
         return tuple(removals)
 
+    def removals_of_former_eras(
+        self, revision: int
+    ) -> tuple[changes.Change, ...]:
+        """Return the removals of what no read in a revision's era confirmed.
+
+        Other hosts may still report targets and zones out of service that a
+        restored store does not have.
+        """
+        confirmed_keys = {
+            key
+            for key, known in self._newest_changes.items()
+            if revisions.era_of(known.revision) >= revisions.era_of(revision)
+        }
+        return self.implied_removals(confirmed_keys, revision)
+
     def _merges_new_content(self, received: changes.Change) -> bool:
         """Merge a change; return whether its content was new here."""
         key = received.key
         known = self._newest_changes.get(key)
-        if known is not None and known.revision >= received.revision:
-            return False
         if isinstance(received, changes.PolicyChange):
             if self.policy and received.policy.version <= self.policy.version:
                 return False
             self.policy = received.policy
+        elif known is not None:
+            received = precedence.resolve_changes(known, received)
+            if received == known:
+                return False
         self._newest_changes[key] = received
         content_hash = _content_hash(received)
         if content_hash == self._content_hashes.get(key):
--- a/src/pomeloward/replica/storepoller.py
+++ b/src/pomeloward/replica/storepoller.py
@@ -11,6 +11,7 @@
 from pomeloward.replica import readschedule as readschedules
 from pomeloward.replica import replica as replicas
 from pomeloward.replica import replicator as replicators
+from pomeloward.replica import revision as revisions
 from pomeloward.replica import storeclient as storeclients
 
 # Bounds of the wait for the next read. A host that moves up in the order of
@@ -23,14 +24,17 @@
 # Targets whose entries expired in an outage are registered again this long
 # after its end.
 REREGISTRATION_GRACE_MS = 2_000.0
+# Zones that were out of service before the store was restored stay so until
+# the operators have had this time to write that again.
+_ZONE_REWRITE_GRACE_MS = 5_000.0
 
 
 class StorePoller:
     """Keeps the replica current from the store.
 
-    Removals that are read soon after an outage of the store are deferred
-    until ``REREGISTRATION_GRACE_MS`` have passed, since living targets
-    register again.
+    Removals that are read soon after an outage or a restoration of the store
+    are deferred until ``REREGISTRATION_GRACE_MS`` have passed, since living
+    targets register again.
     """
 
     def __init__(
@@ -56,10 +60,11 @@
         self._rank_and_has_peers = rank_and_has_peers
         self._revision: int | None = None
         self._last_read_ms: float | None = None
-        self._deferred_removals: dict[str, changes.TargetRemoval] = {}
+        self._deferred_removals: dict[str, changes.Change] = {}
         self._defer_removals_until_ms = 0.0
         self._is_store_unavailable = False
-        self._era: int | None = None
+        # Zones out of service that a restored store lacks are kept so long.
+        self._defer_zones_until_ms = 0.0
 
     async def run(self) -> None:
         """Read the store whenever the schedule says so, until cancelled."""
@@ -95,7 +100,7 @@
                 message_type="store:regained", revision=result.revision
             )
         self._record_read_time(ended_ms)
-        self._record_era(result)
+        self._record_era(result.revision)
         self._merge_result(result)
         self._schedule.record_success(now_ms, ended_ms)
 
@@ -119,17 +124,28 @@
             self._defer_removals_until_ms = now_ms + REREGISTRATION_GRACE_MS
         self._last_read_ms = now_ms
 
-    def _record_era(self, result: readresults.ReadResult) -> None:
-        """Log when the store has come back from an older copy."""
-        if self._era is not None and result.era != self._era:
-            eliot.log_message(
-                message_type="store:restored",
-                era=result.era,
-                former_era=self._era,
-                revision=result.revision,
-                former_revision=self._revision,
-            )
-        self._era = result.era
+    def _record_era(self, revision: int) -> None:
+        """Defer removals if the store was restored since the last state.
+
+        It then lacks what was written since its copy, until the operators
+        and the targets have written that again.
+        """
+        known_revision = max(
+            self._revision or 0, self._replica.largest_revision
+        )
+        era, known_era = map(revisions.era_of, (revision, known_revision))
+        if not known_revision or era == known_era:
+            return
+        now_ms = model.now_ms()
+        self._defer_removals_until_ms = now_ms + REREGISTRATION_GRACE_MS
+        self._defer_zones_until_ms = now_ms + _ZONE_REWRITE_GRACE_MS
+        eliot.log_message(
+            message_type="store:restored",
+            era=era,
+            former_era=known_era,
+            revision=revisions.number_of(revision),
+            former_revision=revisions.number_of(known_revision),
+        )
 
     def _merge_result(self, result: readresults.ReadResult) -> None:
         received = result.changes
@@ -138,19 +154,23 @@
             received += self._replica.implied_removals(
                 listed_keys, result.revision
             )
-        now_ms = model.now_ms()
-        if now_ms < self._defer_removals_until_ms:
-            received = tuple(
-                change
-                for change in received
-                if not self._defers_removal(change)
-            )
+        elif self._has_settled(model.now_ms()):
+            received += self._replica.removals_of_former_eras(result.revision)
+        received = tuple(
+            change for change in received if not self._defers(change)
+        )
         for change in received:
             self._deferred_removals.pop(change.key, None)
         self._replicator.merge_and_forward(received)
         self._log_differences(received)
         self._revision = result.revision
 
+    def _has_settled(self, now_ms: float) -> bool:
+        """Tell whether nothing is deferred after an outage or restoration."""
+        return now_ms >= max(
+            self._defer_removals_until_ms, self._defer_zones_until_ms
+        )
+
     def _log_differences(
         self, received: collections.abc.Iterable[changes.Change]
     ) -> None:
@@ -159,7 +179,8 @@
         The replica then has a newer state, from another host or from before
         the store was restored.
         """
-        for change in received:
+        newest = {change.key: change for change in received}
+        for change in newest.values():
             known = self._replica.newest_change(change.key)
             if known is not None and not self._replica.has_content(change):
                 eliot.log_message(
@@ -169,15 +190,32 @@
                     known_revision=known.revision,
                 )
 
-    def _defers_removal(self, change: changes.Change) -> bool:
-        """Defer a target's removal; return whether the change is one."""
+    def _defers(self, change: changes.Change) -> bool:
+        """Defer a change if it may only follow from lost writes.
+
+        Returns whether it is deferred.
+        """
+        if model.now_ms() >= self._deferred_until_ms(change):
+            return False
+        self._deferred_removals[change.key] = change
+        return True
+
+    def _deferred_until_ms(self, change: changes.Change) -> float:
+        """Return the clock time until which such changes are deferred."""
         if isinstance(change, changes.TargetRemoval):
-            self._deferred_removals[change.key] = change
-            return True
-        return False
+            return self._defer_removals_until_ms
+        if isinstance(change, changes.ZoneChange) and not change.is_out:
+            return self._defer_zones_until_ms
+        return 0.0
 
     def _merge_deferred_removals(self, now_ms: float) -> None:
-        """Merge the deferred removals when their time has come."""
-        if self._deferred_removals and now_ms >= self._defer_removals_until_ms:
-            removals, self._deferred_removals = self._deferred_removals, {}
-            self._replicator.merge_and_forward(removals.values())
+        """Merge the deferred removals whose time has come."""
+        due = [
+            change
+            for change in self._deferred_removals.values()
+            if now_ms >= self._deferred_until_ms(change)
+        ]
+        for change in due:
+            del self._deferred_removals[change.key]
+        if due:
+            self._replicator.merge_and_forward(due)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -43,9 +43,11 @@
 
 
 def test_target_entry_is_decoded():
-    target = targetentry.decode_target_entry(
-        _TARGET_ID, _json_bytes(_TARGET_ENTRY)
+    change = targetentry.decode_target_entry(
+        _TARGET_ID, _json_bytes({**_TARGET_ENTRY, "sequence": 4}), 9
     )
+    assert (change.revision, change.last_report) == (9, (17, 4))
+    target = change.target
     assert (target.service, target.zone, target.slots) == ("orders", "a", 3)
     assert target.is_cold and not target.is_leaving
     assert target.started_ms == 17
@@ -59,7 +61,7 @@
     }
     with pytest.raises(model.ConfigurationError):
         targetentry.decode_target_entry(
-            _TARGET_ID, _json_bytes(incomplete_entry)
+            _TARGET_ID, _json_bytes(incomplete_entry), 1
         )
 
 
@@ -67,7 +69,7 @@
 def test_arbitrary_payloads_raise_only_configuration_errors(value):
     payload = value if isinstance(value, bytes) else _json_bytes(value)
     for decode in (
-        lambda: targetentry.decode_target_entry(_TARGET_ID, payload),
+        lambda: targetentry.decode_target_entry(_TARGET_ID, payload, 1),
         lambda: configuration.decode_configuration(payload),
     ):
         try:
--- a/tests/replica/test_storepoller.py
+++ b/tests/replica/test_storepoller.py
@@ -65,15 +65,14 @@
         pass
 
 
-def _run(scenario):
+def run_scenario(store, scenario):
     """Run a scenario beside a poller, on a clock that skips waits.
 
-    ``scenario`` is called with the fake store and a function that returns
-    the sorted ids of the targets in the replica.
+    ``scenario`` is called with the store client and the replica.
     """
 
     async def main():
-        store, own_replica = FakeStoreClient(), replica.Replica()
+        own_replica = replica.Replica()
         replicator = replica.Replicator(
             own_replica, SilentPeers(), tuple, lambda changes: None
         )
@@ -85,18 +84,30 @@
             schedule,
             lambda now_ms: (0, True),
         )
-
-        def target_ids():
-            return sorted(target.id for target in own_replica.targets())
-
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(poller.run)
-            await scenario(store, target_ids)
+            await scenario(store, own_replica)
             tasks.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+def _run(scenario):
+    """Run a scenario with a fake store.
+
+    It is called with the store and a function that returns the sorted ids
+    of the targets in the replica.
+    """
+
+    async def run_with_ids(store, own_replica):
+        def target_ids():
+            return sorted(target.id for target in own_replica.targets())
+
+        await scenario(store, target_ids)
+
+    run_scenario(FakeStoreClient(), run_with_ids)
+
+
 def test_change_is_merged_within_a_second():
     async def scenario(store, target_ids):
         store.put(samples.make_target("t1"))
