Let targets limit their rate and the store go back in the soak

Change: two faults. A server names a rate limit for some seconds; the check counts what it gets from hosts that know. The store goes back to a copy, and operators and servers write again what it lost; the checks for keys, drains, zones and versions hold on. Reports of servers are numbered as on the platform. Two plants: limits that are ignored, and an order of changes by number alone.

--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -31,6 +31,7 @@
     def __init__(self, world, plant):
         self._world = world
         self._rng = world.rng
+        self._faulty = set()
         self._kinds = [
             self._server,
             self._server,
@@ -45,6 +46,8 @@
             self._drain,
             self._zone,
             self._route,
+            self._limit,
+            self._restore,
         ]
         if plant != "none":
             # The bounds hold for undisturbed hosts, so that a plant needs
@@ -55,6 +58,10 @@
                 self._drain,
                 self._route,
             ]
+        if plant == "limit":
+            self._kinds.append(self._limit)
+        if plant == "era":
+            self._kinds.extend([self._restore, self._key, self._key])
 
     async def run(self, duration_s):
         """Begin faults for a while; returns when all have ended."""
@@ -66,12 +73,51 @@
 
     async def _server(self):
         name = self._rng.choice(list(self._world.servers))
+        if name in self._world.limits:
+            return
+        self._faulty.add(name)
         self._world.set_behaviour(name, self._rng.choice(_BEHAVIOURS))
         await anyio.sleep(self._rng.uniform(0.5, 3.0))
         self._world.set_behaviour(name, servers.answer)
+        self._faulty.discard(name)
+
+    async def _limit(self):
+        """Let a server name a rate limit, without any other fault of it."""
+        world = self._world
+        name = self._rng.choice(list(world.servers))
+        if name in world.limits or name in self._faulty:
+            return
+        limit_per_s = self._rng.choice((1.0, 2.5, 6.0))
+        limited = [name, limit_per_s, anyio.current_time(), float("inf")]
+        world.limits[name] = limit_per_s
+        world.record.limits.append(limited)
+        world.set_behaviour(name, servers.limited(limit_per_s))
+        await anyio.sleep(self._rng.uniform(6.0, 9.0))
+        limited[3] = anyio.current_time()
+        del world.limits[name]
+        world.set_behaviour(name, servers.answer)
+
+    async def _restore(self):
+        """Let the store go back to a copy; then all is written again."""
+        world = self._world
+        if world.store.copy is not None:
+            return
+        world.store.keep_copy()
+        await anyio.sleep(self._rng.uniform(1.0, 4.0))
+        lasts_s = self._rng.uniform(0.3, 2.0)
+        now_s = anyio.current_time()
+        world.record.disturb("*", now_s, now_s + lasts_s)
+        world.store.is_away = True
+        world.store.restore()
+        await anyio.sleep(lasts_s)
+        world.store.is_away = False
+        world.write_again()
+        world.store.copy = None
 
     async def _link(self):
         name = self._rng.choice(list(self._world.proxies))
+        if name in self._world.limits:
+            return
         link = self._world.proxies[name]
         link.set(self._rng.choice(_MODES))
         await anyio.sleep(self._rng.uniform(0.5, 3.0))
@@ -141,7 +187,8 @@
         record.zones_out.append(out)
         await anyio.sleep(self._rng.uniform(2.0, 7.0))
         out[2] = anyio.current_time()
-        world.store.delete(f"op/evacuate/{zone}")
+        if f"op/evacuate/{zone}" in world.store.items:
+            world.store.delete(f"op/evacuate/{zone}")
 
     async def _route(self):
         self._world.has_new_route = True
--- a/tests/platform/soak/planted.py
+++ b/tests/platform/soak/planted.py
@@ -76,12 +76,34 @@
     targetresponse.TargetResponse.__init__ = swapped
 
 
+def _limit():
+    balance.TargetLimits.allows_start = lambda self, target_id, now_ms: True
+
+
+def _era():
+    merge = replica.Replica.merge
+
+    def by_number(self, received):
+        newer = []
+        for change in received:
+            known = self.newest_change(change.key)
+            if known is None or replica.number_of(
+                known.revision
+            ) < replica.number_of(change.revision):
+                newer.append(change)
+        return merge(self, newer)
+
+    replica.Replica.merge = by_number
+
+
 _PLANTS = {
     "twice": _twice,
     "drain": _drain,
     "key": _key,
     "old": _old,
     "swap": _swap,
+    "limit": _limit,
+    "era": _era,
 }
 
 if __name__ == "__main__":
--- a/tests/platform/soak/record.py
+++ b/tests/platform/soak/record.py
@@ -10,6 +10,9 @@
 _CALM_S = 3.0
 _SERVED_RATIO = 0.95
 _PROMISES = (429, 503)
+_LIMIT_WINDOW_S = 4.0
+# From a host's first answer with a limit until its requests count.
+_LIMIT_KNOWN_S = 0.5
 # Between the store's answer and the note of it here, and between the
 # sending and the arrival of a request.
 _SLACK_S = 0.3
@@ -41,6 +44,8 @@
         self.withdrawn = {}
         self.draining = {}
         self.zones_out = []
+        # Lists of server, limit per second, start and end of the limit.
+        self.limits = []
         self.calm_from_s = float("inf")
         self.stalls = 0
 
@@ -57,6 +62,7 @@
             self._key,
             self._drain,
             self._zone,
+            self._limit,
             self._newest,
             self._serves,
         )
@@ -124,6 +130,34 @@
                 if self._in_touch(one.host, from_s, at_s):
                     yield f"zone: {name} at {server}"
 
+    def _limit(self):
+        for server, limit_per_s, from_s, until_s in self.limits:
+            counted = self._told_arrivals(server, from_s, until_s)
+            allowed = 1.5 * limit_per_s * _LIMIT_WINDOW_S + 5
+            for end_s in counted:
+                start_s = end_s - _LIMIT_WINDOW_S
+                count = sum(start_s < one <= end_s for one in counted)
+                if end_s >= from_s + _CALM_S and count > allowed:
+                    yield f"limit: {count} at {server}, {allowed} allowed"
+                    break
+
+    def _told_arrivals(self, server, from_s, until_s):
+        """Return when requests arrived from hosts that knew of a limit."""
+        told_s = {}
+        counted = []
+        for name, at_server, at_s in self.arrivals:
+            one = self.requests.get(name)
+            if one is None or at_server != server:
+                continue
+            if not from_s <= at_s <= until_s:
+                continue
+            told_s.setdefault(one.host, at_s + _LIMIT_KNOWN_S)
+            if at_s >= told_s[one.host] and self._in_touch(
+                one.host, from_s, at_s
+            ):
+                counted.append(at_s)
+        return counted
+
     def _newest(self):
         known = {}
         for one in sorted(self.requests.values(), key=lambda r: r.sent_s):
--- a/tests/platform/soak/world.py
+++ b/tests/platform/soak/world.py
@@ -53,6 +53,10 @@
         self.keys = list(_KEYS)
         self.has_new_route = False
         self.is_over = False
+        # Rate limits that servers name now.
+        self.limits = {}
+        self._published = {}
+        self._sequence = itertools.count(1)
         self._plant = plant
         self._directory = directory
         self._ports = {kind: serving.steady_port() for kind in _KINDS}
@@ -104,8 +108,28 @@
                 "columns": routes["columns"],
                 "rows": [*routes["rows"], first],
             }
+        self._published = published
         self.store.put("op/config", published)
 
+    def write_again(self):
+        """Write what the operators and servers wrote before a restoration."""
+        self.store.put("op/config", self._published)
+        for name in self.record.draining:
+            self.store.put(
+                f"servers/{name}", self.entry(name, state="draining")
+            )
+        out = {
+            zone
+            for zone, _, until_s in self.record.zones_out
+            if until_s == float("inf")
+        }
+        for zone in ZONES:
+            key = f"op/evacuate/{zone}"
+            if zone in out:
+                self.store.put(key, {})
+            elif key in self.store.items:
+                self.store.delete(key)
+
     async def add_server(self, name, zone):
         made = servers.Server(name, "orders", zone)
         made.behave = functools.partial(self._behave, servers.answer)
@@ -117,7 +141,9 @@
 
     def entry(self, name, **fields):
         address = f"127.0.0.1:{self.proxies[name].port}"
-        return self.servers[name].entry(address=address, **fields)
+        return self.servers[name].entry(
+            address=address, sequence=next(self._sequence), **fields
+        )
 
     def set_behaviour(self, name, behave):
         self.servers[name].behave = functools.partial(self._behave, behave)
