Keep what a restored store lacks when a peer told of its era first

Callers could find no target for up to two seconds where all targets of a service had registered in the time that the store lost.

Cause: a reader took the era for known when another host's news of it came before its own read. It then deferred no removals, and sent the removals of living targets to the whole fleet. Class: what another host knows was taken for what this one has done.

Change: each reader remembers the era of its own last read, and defers at its first read of an era while it holds anything of a former one.

Evidence: found by reading the change; test_targets_are_kept_when_another_ host_read_the_restored_store_first failed before ("t1" missing after 1.5 s) and is green. Tests of replica and tests/platform/test_restoredstore.py pass.

--- a/src/pomeloward/replica/replica.py
+++ b/src/pomeloward/replica/replica.py
@@ -32,12 +32,15 @@
         # The newest version of the operators' configuration, if known.
         self.policy: policies.Policy | None = None
 
-    @property
-    def largest_revision(self) -> int:
-        """The largest revision of a change known here, 0 without any."""
+    def largest_revision_before_era(self, era: int) -> int | None:
+        """Return the largest known revision of former eras, None without."""
         return max(
-            (change.revision for change in self._newest_changes.values()),
-            default=0,
+            (
+                change.revision
+                for change in self._newest_changes.values()
+                if revisions.era_of(change.revision) < era
+            ),
+            default=None,
         )
 
     def targets(self) -> list[targets.Target]:
--- a/src/pomeloward/replica/storepoller.py
+++ b/src/pomeloward/replica/storepoller.py
@@ -59,6 +59,8 @@
         self._schedule = schedule
         self._rank_and_has_peers = rank_and_has_peers
         self._revision: int | None = None
+        # The era of the store at the last read.
+        self._era: int | None = None
         self._last_read_ms: float | None = None
         self._deferred_removals: dict[str, changes.Change] = {}
         self._defer_removals_until_ms = 0.0
@@ -125,16 +127,17 @@
         self._last_read_ms = now_ms
 
     def _record_era(self, revision: int) -> None:
-        """Defer removals if the store was restored since the last state.
+        """Defer removals at the first read after a restoration of the store.
 
-        It then lacks what was written since its copy, until the operators
-        and the targets have written that again.
+        The store then lacks what was written since its copy, until the
+        operators and the targets have written that again.
         """
-        known_revision = max(
-            self._revision or 0, self._replica.largest_revision
-        )
-        era, known_era = map(revisions.era_of, (revision, known_revision))
-        if not known_revision or era == known_era:
+        era = revisions.era_of(revision)
+        if era == self._era:
+            return
+        self._era = era
+        former_revision = self._replica.largest_revision_before_era(era)
+        if former_revision is None:
             return
         now_ms = model.now_ms()
         self._defer_removals_until_ms = now_ms + REREGISTRATION_GRACE_MS
@@ -142,9 +145,9 @@
         eliot.log_message(
             message_type="store:restored",
             era=era,
-            former_era=known_era,
+            former_era=revisions.era_of(former_revision),
             revision=revisions.number_of(revision),
-            former_revision=revisions.number_of(known_revision),
+            former_revision=revisions.number_of(former_revision),
         )
 
     def _merge_result(self, result: readresults.ReadResult) -> None:
--- a/tests/replica/test_restoration.py
+++ b/tests/replica/test_restoration.py
@@ -286,3 +286,21 @@
         assert _ids(own_replica) == [f"t{number}" for number in range(10, 15)]
 
     _run(scenario)
+
+
+def test_targets_are_kept_when_another_host_read_the_restored_store_first():
+    """Its news made the era look known, and living targets were removed."""
+
+    async def scenario(client, own_replica):
+        client.store.keep_copy()
+        client.store.put("t1", 1)
+        await anyio.sleep(1.0)
+        client.store.restore()
+        client.store.put("t2", 1)
+        own_replica.merge(client.store.changes[-1:])
+        await anyio.sleep(1.5)
+        assert _ids(own_replica) == ["t1", "t2"]
+        await anyio.sleep(2.0)
+        assert _ids(own_replica) == ["t2"]
+
+    _run(scenario)
