Forget a relayed limit although two hosts of a zone relay it

Callers of a zone with two or more active hosts would have got no answer from targets of other zones that had named a limit once: hosts of another zone send nothing to a limited target.

Cause: each active host relayed the limits of other zones' targets to its own zone, those that it only knew from a relay too. Two of them confirmed a limit to each other for ever. Class: hearsay that renews itself.

Change: a limit is kept by its source: answers, reports of the target's zone, relays. What is known from a relay only is not relayed.

--- a/src/pomeloward/balance/targetlimits.py
+++ b/src/pomeloward/balance/targetlimits.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import enum
 import math
 import random
 
@@ -32,6 +33,18 @@
 ]
 
 
+class _Source(enum.IntEnum):
+    """Where a limit was heard, the best source first.
+
+    ``ANSWER``: in an answer of the target. ``REPORT``: from a host of the
+    target's zone. ``RELAY``: from a host of this zone about another zone.
+    """
+
+    ANSWER = 0
+    REPORT = 1
+    RELAY = 2
+
+
 @dataclasses.dataclass(slots=True)
 class _Claim:
     """A limit as heard from one source, and until when it is valid."""
@@ -44,26 +57,26 @@
 class _KnownLimit:
     """What is known of one target's limit.
 
-    Its own answers count more than reports. ``bucket`` has the tokens of
-    this host's share.
+    ``bucket`` has the tokens of this host's share.
     """
 
-    answered: _Claim | None
-    reported: _Claim | None
+    claims: dict[_Source, _Claim]
     bucket: quota.ReplicatedTokenBucket
 
     @property
     def limit_per_s(self) -> float | None:
-        """The limit, None if no source names one any more."""
-        claim = self.answered or self.reported
-        return claim.limit_per_s if claim is not None else None
+        """The limit by the best source, None if no source names one."""
+        if not self.claims:
+            return None
+        return self.claims[min(self.claims)].limit_per_s
 
     def expire_claims(self, now_ms: float) -> None:
         """Drop the claims whose time is over."""
-        if self.answered is not None and now_ms >= self.answered.until_ms:
-            self.answered = None
-        if self.reported is not None and now_ms >= self.reported.until_ms:
-            self.reported = None
+        self.claims = {
+            source: claim
+            for source, claim in self.claims.items()
+            if now_ms < claim.until_ms
+        }
 
 
 class TargetLimits:
@@ -153,7 +166,7 @@
             + _ANSWER_LIFETIME_MS
             + min(_MAX_SHARE_INTERVAL_MS, next_starts_ms),
         )
-        self._update(target, claim, None, _ANSWER_SOURCE, now_ms)
+        self._update(target, _Source.ANSWER, claim, _ANSWER_SOURCE, now_ms)
 
     def apply_report(
         self,
@@ -175,8 +188,13 @@
                 or not 0 <= reported.limit_per_s < math.inf
             ):
                 continue
+            source = (
+                _Source.REPORT
+                if reporter_zone == target.zone
+                else _Source.RELAY
+            )
             claim = _Claim(reported.limit_per_s, now_ms + _REPORT_LIFETIME_MS)
-            self._update(target, None, claim, reporter, now_ms)
+            self._update(target, source, claim, reporter, now_ms)
 
     def expire(self, now_ms: float) -> None:
         """Forget the limits that nothing has confirmed for long."""
@@ -221,18 +239,25 @@
     def answered_limits(self) -> tuple[messages.TargetLimit, ...]:
         """Return the limits that targets of this zone named in answers."""
         return tuple(
-            messages.TargetLimit(target_id, known.answered.limit_per_s)
+            messages.TargetLimit(
+                target_id, known.claims[_Source.ANSWER].limit_per_s
+            )
             for target_id, known in self._known.items()
-            if known.answered is not None
+            if _Source.ANSWER in known.claims
             and self._targets[target_id].zone == self._zone
         )
 
     def relayed_limits(self) -> tuple[messages.TargetLimit, ...]:
-        """Return the limits of other zones' targets that are known here."""
+        """Return the limits of other zones' targets for hosts of this zone.
+
+        Those that are known from a relay only are left out: hosts that relay
+        to each other would never forget them.
+        """
         return tuple(
             messages.TargetLimit(target_id, known.limit_per_s)
             for target_id, known in self._known.items()
             if known.limit_per_s is not None
+            and min(known.claims) is not _Source.RELAY
             and self._targets[target_id].zone != self._zone
         )
 
@@ -249,12 +274,12 @@
     def _update(
         self,
         target: replica.Target,
-        answered: _Claim | None,
-        reported: _Claim | None,
-        source: str,
+        source: _Source,
+        claim: _Claim,
+        logged_source: str,
         now_ms: float,
     ) -> None:
-        """Replace a claim on a target's limit, and report a change of it."""
+        """Replace the claim of a source, and report a change of the limit."""
         known = self._known.get(target.id)
         limit_per_s = known.limit_per_s if known is not None else None
         if known is None:
@@ -263,9 +288,8 @@
             bucket = quota.ReplicatedTokenBucket(
                 _MIN_RATE_PER_S, 1.0, self._rng.random(), now_ms
             )
-            known = _KnownLimit(None, None, bucket)
+            known = _KnownLimit({}, bucket)
             self._known[target.id] = known
-        known.answered = answered or known.answered
-        known.reported = reported or known.reported
+        known.claims[source] = claim
         if known.limit_per_s != limit_per_s:
-            self._on_change(target, known.limit_per_s, source)
+            self._on_change(target, known.limit_per_s, logged_source)
--- a/tests/balance/test_targetlimits.py
+++ b/tests/balance/test_targetlimits.py
@@ -222,3 +222,20 @@
     assert balancer.has_spare_capacity(factories.SERVICE_ID)
     host.limits.record_answer("n2", 2.0, now_ms)
     assert balancer.usable_slots(factories.SERVICE_ID, now_ms) == 1
+
+
+def test_relayed_limit_ends_although_two_hosts_relay_it():
+    """Two active hosts of a zone confirmed it to each other for ever."""
+    hosts = [LimitedHost(), LimitedHost()]
+    for now_ms in range(0, 12_000, 500):
+        if now_ms <= 2_000:
+            for host in hosts:
+                host.report(3.0, now_ms, "f1", factories.REMOTE_ZONE)
+        for host in hosts:
+            host.limits.expire(now_ms)
+        relayed = [host.limits.relayed_limits() for host in hosts]
+        for receiver, limits in zip(hosts, reversed(relayed), strict=True):
+            receiver.limits.apply_report(
+                _HOST, factories.LOCAL_ZONE, limits, now_ms
+            )
+    assert [host.limits.limited_count for host in hosts] == [0, 0]
