Say what limit reports contain, and name the sources in the doc comment

From a read of the change as a newcomer: the doc comments of the report and of the callback did not say who sends what, the example lacked an argument. No behavior changes; the tests of balance pass.

--- a/src/pomeloward/balance/balancer.py
+++ b/src/pomeloward/balance/balancer.py
@@ -21,6 +21,7 @@
 # Above this ratio of a zone's slots in use, backup attempts take slots that
 # requests which can't be repeated would wait for.
 _BACKUP_MAX_USED_RATIO = 0.5
+# Smoothing of the mean time that requests for a service use a slot.
 _MEAN_RUN_GAIN = 0.05
 
 # Interval of reports of unhealthy targets to hosts of other zones.
@@ -73,7 +74,6 @@
         self._latency_estimators: dict[
             model.RouteId, latency.LatencyEstimator
         ] = {}
-        # Smoothed time that an attempt uses a slot of the service's targets.
         self._mean_run_ms: dict[model.ServiceId, float] = {}
         self._is_active = True
         self._zone_host_count = 1
--- a/src/pomeloward/balance/messages.py
+++ b/src/pomeloward/balance/messages.py
@@ -23,9 +23,11 @@
 
 
 class TargetLimitReport(peer.Message, frozen=True, tag="balance_limits"):
-    """Limits that targets have named to the sender or, in its zone, to others.
+    """Rate limits of targets that the sender knows.
 
-    They are valid until a few reports of the sender are missing.
+    In its own zone these are all limits, in other zones those that targets of
+    its zone have named in answers to it. They are valid until a few reports
+    of the sender are missing.
     """
 
     limits: tuple[TargetLimit, ...]
--- a/src/pomeloward/balance/targetlimits.py
+++ b/src/pomeloward/balance/targetlimits.py
@@ -19,7 +19,7 @@
 # host's share allows two more requests. Only their answers show its end.
 _ANSWER_LIFETIME_MS = 5_000.0
 _MAX_SHARE_INTERVAL_MS = 30_000.0
-# Requests that a share allows at once, as the time in which they accrue.
+# A share allows as many requests at once as accrue in this time, or one.
 _BURST_INTERVAL_S = 0.5
 # A target that takes no requests is asked at this rate whether that is over.
 _MIN_RATE_PER_S = 0.1
@@ -89,7 +89,7 @@
 
     Example::
 
-        limits = TargetLimits(zone, on_change)
+        limits = TargetLimits(zone, on_change, rng)
         limits.update_targets(targets)
         limits.record_answer(target_id, 2.5, now_ms)
         if limits.allows_start(target_id, now_ms):
@@ -105,7 +105,8 @@
         """Create the limits of a host in ``zone``.
 
         ``on_change`` is called with a target, its limit in requests per
-        second, None if it names none, and the source of this knowledge.
+        second, None if it names none, and the source of this knowledge:
+        "answer", the host that reported the limit, or "expired".
         """
         self._zone = zone
         self._on_change = on_change
