Keep to the idle time that a target announces for its connections

Callers got 502 for an order that was sent on a connection which its target had already dropped, as it had announced.

Cause: the hosts assumed that each target keeps idle connections for 10 s and read no Keep-Alive header.

Change: a target that announces a shorter time than the usual one gets a pool whose connections are not used again after four fifths of it.

Measured: test_order_avoids_a_connection_past_its_announced_idle_time got 502 before and gets 200. lint, and the tests of dispatch, relay, path and the request path pass.

--- a/bench/matrix/transport.py
+++ b/bench/matrix/transport.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import json
+import math
 import typing
 
 import anyio
@@ -117,13 +118,17 @@
         return self._links.get(target.id)
 
     def make(
-        self, target: dispatch.Reachable, connections: int, now_ms: float
+        self,
+        target: dispatch.Reachable,
+        connections: int,
+        now_ms: float,
+        idle_ms: float = math.inf,
     ) -> link.Link:
         """Make the link to a target."""
         transport = Transport(
             self._host, self._fakes[target.id], self._tasks, self._steps
         )
-        made = link.Link(target.url, transport, now_ms)
+        made = link.Link(target.url, transport, now_ms, idle_ms)
         self._links[target.id] = made
         return made
 
--- a/src/pomeloward/dispatch/__init__.py
+++ b/src/pomeloward/dispatch/__init__.py
@@ -5,6 +5,7 @@
 from pomeloward.dispatch.dispatcher import Dispatcher as Dispatcher
 from pomeloward.dispatch.evidence import RunEvidence as RunEvidence
 from pomeloward.dispatch.failed import Failed as Failed
+from pomeloward.dispatch.head import announced_idle_ms as announced_idle_ms
 from pomeloward.dispatch.head import clean as clean
 from pomeloward.dispatch.head import HOP_BY_HOP as HOP_BY_HOP
 from pomeloward.dispatch.links import host_and_port as host_and_port
--- a/src/pomeloward/dispatch/head.py
+++ b/src/pomeloward/dispatch/head.py
@@ -1,6 +1,7 @@
 """Checks and cleans the head of a target's answer."""
 
 import collections.abc
+import re
 
 import httpx
 
@@ -22,6 +23,7 @@
     }
 )
 _BODYLESS = frozenset({204, 304})
+_IDLE_TIME = re.compile(r"\btimeout\s*=\s*(\d{1,6})\b", re.IGNORECASE)
 
 
 def has_known_length(method: str, response: httpx.Response) -> bool:
@@ -52,3 +54,12 @@
         for name, value in lowered
         if name not in HOP_BY_HOP and name not in named
     ]
+
+
+def announced_idle_ms(headers: httpx.Headers) -> float | None:
+    """Return how long a target keeps its idle connections, if it tells.
+
+    ``Keep-Alive: timeout=5, max=100`` announces 5,000 ms.
+    """
+    found = _IDLE_TIME.search(headers.get("keep-alive", ""))
+    return int(found.group(1)) * 1_000.0 if found is not None else None
--- a/src/pomeloward/dispatch/link.py
+++ b/src/pomeloward/dispatch/link.py
@@ -7,16 +7,22 @@
     """A target's pool of connections and its parsed address.
 
     ``open_count`` is the number of attempts and answers that use the pool.
+    Its connections are not used again after ``max_idle_ms``.
     """
 
     def __init__(
-        self, url: str, transport: httpx.AsyncHTTPTransport, now_ms: float
+        self,
+        url: str,
+        transport: httpx.AsyncHTTPTransport,
+        now_ms: float,
+        max_idle_ms: float,
     ) -> None:
         self.url = url
         self.base = httpx.URL(url)
         self.transport = transport
         self.open_count = 0
         self.used_ms = now_ms
+        self.max_idle_ms = max_idle_ms
 
     def enter(self, now_ms: float) -> None:
         """Note that an attempt begins."""
--- a/src/pomeloward/dispatch/links.py
+++ b/src/pomeloward/dispatch/links.py
@@ -1,5 +1,6 @@
 """Connections to targets, one pool per target."""
 
+import math
 import ssl
 
 import anyio
@@ -46,13 +47,22 @@
         return None
 
     def make(
-        self, target: reachable.Reachable, connections: int, now_ms: float
+        self,
+        target: reachable.Reachable,
+        connections: int,
+        now_ms: float,
+        idle_ms: float = math.inf,
     ) -> links.Link:
-        """Make the link to a target with a bound on its connections."""
+        """Make the link to a target with a bound on its connections.
+
+        They are not used again after ``idle_ms``, or after the usual idle
+        time if that is shorter.
+        """
+        idle_s = min(self._target_idle_s, idle_ms / 1_000)
         limits = httpx.Limits(
             max_connections=connections,
             max_keepalive_connections=connections,
-            keepalive_expiry=self._target_idle_s,
+            keepalive_expiry=idle_s,
         )
         transport = httpx.AsyncHTTPTransport(
             verify=self._tls,
@@ -60,7 +70,7 @@
             limits=limits,
             local_address=self._address,
         )
-        made = links.Link(target.url, transport, now_ms)
+        made = links.Link(target.url, transport, now_ms, idle_s * 1_000)
         former = self._links.get(target.id)
         if former is not None:
             self._former.append(former)
--- a/src/pomeloward/relay/targetclient.py
+++ b/src/pomeloward/relay/targetclient.py
@@ -27,6 +27,9 @@
 # "Misdirected Request": another server has taken over the target's address.
 _MISDIRECTED_STATUS = 421
 _MAX_LOGGED_BYTES = 40
+# Part of its announced idle time after which a connection isn't used again:
+# the target closes it while a request may be on its way.
+_IDLE_TIME_RATIO = 0.8
 
 Headers = dispatch.Headers
 # Called with each answer that tells whether its target limits its rate; the
@@ -83,6 +86,7 @@
             response = await link.transport.handle_async_request(
                 self._make_request(request, target, link, send_observer)
             )
+            self._limit_idle_time(target, response)
             return await self._check_response(
                 request, attempt, response, run_evidence
             )
@@ -102,6 +106,23 @@
             target, self._max_connections_for(target.service), model.now_ms()
         )
 
+    def _limit_idle_time(
+        self, target: replica.Target, response: httpx.Response
+    ) -> None:
+        """Replace the pool of a target that announces a shorter idle time."""
+        announced_ms = dispatch.announced_idle_ms(response.headers)
+        link = self._links.find(target)
+        if announced_ms is None or link is None:
+            return
+        idle_ms = announced_ms * _IDLE_TIME_RATIO
+        if idle_ms < link.max_idle_ms:
+            self._links.make(
+                target,
+                self._max_connections_for(target.service),
+                model.now_ms(),
+                idle_ms,
+            )
+
     def _make_request(
         self,
         request: admittedrequest.AdmittedRequest,
--- a/tests/dispatch/test_links.py
+++ b/tests/dispatch/test_links.py
@@ -1,10 +1,12 @@
 """Tests of the pools of connections to targets."""
 
 import anyio
+import httpx
 import pytest
 
 from pomeloward import catalog
 from pomeloward import model
+from pomeloward.dispatch import head
 from pomeloward.dispatch import links
 
 pytestmark = pytest.mark.anyio
@@ -39,3 +41,18 @@
     kept = links.Links(4_000.0, "127.0.0.1")
     kept.make(_target(), 4, anyio.current_time())
     assert kept.find(_target("http://127.0.0.1:2")) is None
+
+
+@pytest.mark.parametrize(
+    ("text", "announced_ms"),
+    [
+        ("timeout=5, max=100", 5_000.0),
+        ("max=3, Timeout = 0", 0.0),
+        ("timeout=-1", None),
+        ("timeout=", None),
+        ("max=100", None),
+    ],
+)
+async def test_announced_idle_time_is_read(text, announced_ms):
+    headers = httpx.Headers({"Keep-Alive": text})
+    assert head.announced_idle_ms(headers) == announced_ms
--- a/tests/platform/test_targetfailures.py
+++ b/tests/platform/test_targetfailures.py
@@ -117,3 +117,25 @@
         world.servers["s1"].behave = truncate_response
         with pytest.raises(httpx.RemoteProtocolError):
             await world.request("POST", "/order/")
+
+
+async def test_order_avoids_a_connection_past_its_announced_idle_time(world):
+    """The target had dropped the connection, and the order got 502."""
+    answered_s = {}
+
+    async def behave(server, stream, request, headers):
+        now_s = anyio.current_time()
+        if now_s - answered_s.get(id(stream), now_s) > 1.0:
+            await stream.aclose()
+            raise anyio.EndOfStream
+        server.ran.append(request)
+        extra = ["Keep-Alive: timeout=1"]
+        await stream.send(servers.head(request, 200, 2, extra) + b"ok")
+        answered_s[id(stream)] = anyio.current_time()
+
+    async with world.running(names=("s1",)):
+        world.servers["s1"].behave = behave
+        for _ in range(3):
+            response = await world.request("POST", "/order/", content=b"x")
+            assert response.status_code == 200
+            await anyio.sleep(1.2)
