Write the store's era and revision apart in log lines

An engineer who looked up a revision of a log line in the store would have found none: the lines printed the number that contains the era.

No decision changes.

--- a/src/pomeloward/edge/logevents.py
+++ b/src/pomeloward/edge/logevents.py
@@ -39,12 +39,16 @@
 
 
 def log_replica_change(change: replica.Change) -> None:
-    """Log a change of the replica with the store's revision."""
+    """Log a change of the replica with the store's era and revision."""
+    position = {
+        "era": replica.era_of(change.revision),
+        "revision": replica.number_of(change.revision),
+    }
     if isinstance(change, replica.PolicyChange):
         eliot.log_message(
             message_type="configuration",
             version=change.policy.version,
-            revision=change.revision,
+            **position,
         )
     elif isinstance(change, replica.TargetChange):
         eliot.log_message(
@@ -53,18 +57,18 @@
             service=change.target.service,
             is_leaving=change.target.is_leaving,
             is_cold=change.target.is_cold,
-            revision=change.revision,
+            **position,
         )
     elif isinstance(change, replica.TargetRemoval):
         eliot.log_message(
             message_type="target:gone",
             target=change.target,
-            revision=change.revision,
+            **position,
         )
     else:
         eliot.log_message(
             message_type="zone",
             zone=change.zone,
             is_out=change.is_out,
-            revision=change.revision,
+            **position,
         )
--- a/src/pomeloward/replica/storepoller.py
+++ b/src/pomeloward/replica/storepoller.py
@@ -99,7 +99,9 @@
         if self._is_store_unavailable:
             self._is_store_unavailable = False
             eliot.log_message(
-                message_type="store:regained", revision=result.revision
+                message_type="store:regained",
+                era=revisions.era_of(result.revision),
+                revision=revisions.number_of(result.revision),
             )
         self._record_read_time(ended_ms)
         self._record_era(result.revision)
@@ -113,7 +115,9 @@
             return await self._store_client.read_changes_after(self._revision)
         except storeclients.HistoryGone:
             eliot.log_message(
-                message_type="store:history_gone", revision=self._revision
+                message_type="store:history_gone",
+                era=revisions.era_of(self._revision),
+                revision=revisions.number_of(self._revision),
             )
             return await self._store_client.read_snapshot()
 
@@ -189,8 +193,10 @@
                 eliot.log_message(
                     message_type="store:not_applied",
                     key=change.key,
-                    revision=change.revision,
-                    known_revision=known.revision,
+                    era=revisions.era_of(change.revision),
+                    revision=revisions.number_of(change.revision),
+                    known_era=revisions.era_of(known.revision),
+                    known_revision=revisions.number_of(known.revision),
                 )
 
     def _defers(self, change: changes.Change) -> bool:
--- a/tests/platform/test_logs.py
+++ b/tests/platform/test_logs.py
@@ -119,3 +119,15 @@
             await anyio.sleep(1.3)
     (reload_line,) = _lines_of_type(lines, "reload")
     assert reload_line["needs_restart"] == ["store"]
+
+
+async def test_lines_name_the_stores_own_revisions(world):
+    """A number that the store never gave out can't be found there."""
+    with _captured_lines() as lines:
+        async with world.running():
+            revisions = {
+                item["key"]: item["revision"]
+                for item in world.store.items.values()
+            }
+    (line,) = _lines_of_type(lines, "configuration")
+    assert (line["era"], line["revision"]) == (1, revisions["op/config"])
