Log what a request asks for as a fingerprint

Request lines named only the caller's id, which is new for each repeat. The fingerprint is a digest of method, path, query, team and the start of the body; no key and no path can be read from it. No decision uses it yet.

--- a/src/pomeloward/entry/body.py
+++ b/src/pomeloward/entry/body.py
@@ -53,6 +53,10 @@
         """Whether the body has ended without a byte."""
         return self.is_ended and not self._size
 
+    def kept_start(self, limit_bytes: int) -> bytes:
+        """Return up to ``limit_bytes`` of what was read and is still kept."""
+        return b"".join(self._kept)[:limit_bytes]
+
     async def chunks(self) -> collections.abc.AsyncIterator[bytes]:
         """Iterate over the body from its start.
 
--- a/src/pomeloward/model/__init__.py
+++ b/src/pomeloward/model/__init__.py
@@ -20,6 +20,7 @@
 from pomeloward.model.ids import Incarnation as Incarnation
 from pomeloward.model.ids import PartitionId as PartitionId
 from pomeloward.model.ids import RegionId as RegionId
+from pomeloward.model.ids import RequestFingerprint as RequestFingerprint
 from pomeloward.model.ids import RequestId as RequestId
 from pomeloward.model.ids import RouteId as RouteId
 from pomeloward.model.ids import ServiceId as ServiceId
--- a/src/pomeloward/model/ids.py
+++ b/src/pomeloward/model/ids.py
@@ -11,6 +11,8 @@
 TargetId = typing.NewType("TargetId", str)
 RouteId = typing.NewType("RouteId", str)
 RequestId = typing.NewType("RequestId", str)
+# Digest in hexadecimal of what a request asks for, apart from its id.
+RequestFingerprint = typing.NewType("RequestFingerprint", str)
 # A partition of a region's services, orders and team budgets, which one host
 # owns at a time. It is written "<region>/<number>", for example "south/17".
 PartitionId = typing.NewType("PartitionId", str)
--- a/src/pomeloward/relay/admittedrequest.py
+++ b/src/pomeloward/relay/admittedrequest.py
@@ -15,6 +15,7 @@
     ``path_and_query`` is the request target as received, still encoded.
     ``headers`` contain neither the caller's key nor the headers of its
     connection. By ``deadline_ms`` the caller has to get its response.
+    ``fingerprint`` is shared with the requests that ask for the same.
     """
 
     id: model.RequestId
@@ -27,6 +28,7 @@
     body: dispatch.Body
     arrived_at_ms: float
     deadline_ms: float
+    fingerprint: model.RequestFingerprint = model.RequestFingerprint("")
 
     @property
     def priority(self) -> int:
--- a/src/pomeloward/relay/application.py
+++ b/src/pomeloward/relay/application.py
@@ -13,6 +13,7 @@
 from pomeloward import model
 from pomeloward import observability
 from pomeloward import policy as policies
+from pomeloward import quarantine
 from pomeloward.relay import admission as admissions
 from pomeloward.relay import admittedrequest
 from pomeloward.relay import exceptiongroups
@@ -147,6 +148,16 @@
             await self._refuse(writer, admitted.error, log_entry)
             return
         request = _make_admitted_request(head, admitted.ok, body, log_entry)
+        await body.preload()
+        log_entry.fingerprint = request.fingerprint = (
+            quarantine.compute_fingerprint(
+                request.method,
+                request.path_and_query,
+                log_entry.team_id,
+                body.kept_start(quarantine.BODY_BYTES),
+                head.content_length,
+            )
+        )
         await self._forward_while_connected(
             request, body, receive, writer, log_entry, entry.turn_of(scope)
         )
@@ -161,7 +172,6 @@
         turn: entry.Turn,
     ) -> None:
         """Forward a request and respond; stop if the caller disconnects."""
-        await body.preload()
         async with anyio.create_task_group() as tasks:
 
             async def cancel_on_disconnect() -> None:
@@ -265,6 +275,7 @@
             route=log_entry.route_id,
             team=log_entry.team_id,
             service=log_entry.service_id,
+            fingerprint=log_entry.fingerprint,
             version=log_entry.configuration_version,
             attempts=log_entry.attempts,
         )
--- a/src/pomeloward/relay/requestlogentry.py
+++ b/src/pomeloward/relay/requestlogentry.py
@@ -11,6 +11,8 @@
 
     ``reason`` tells why the request was refused or ended without a complete
     response, and is empty otherwise.
+    ``fingerprint`` is shared with the requests that ask for the same, and
+    empty if the request was not admitted.
     ``waited_ms`` is the time until the first attempt got a slot.
     ``attempts`` has a text for each attempt with target, reason of its
     selection, outcome, duration and detail, such as
@@ -23,6 +25,7 @@
     route_id: str = ""
     team_id: str = ""
     service_id: str = ""
+    fingerprint: str = ""
     reason: str = ""
     waited_ms: float = 0.0
     attempts: list[str] = dataclasses.field(default_factory=list)
