Quarantine requests under which targets crash again and again

Cause: hosts judged each caller's attempt by itself. A repeat was new to every host, and the retry of each crashed a second target. With fingerprints in the lines one fingerprint is in 13 of the lines with a closed connection, at three hosts, and never got a good answer; each other one is in one line only. Ruled out: targets that end under load while they are cold.

--- a/src/pomeloward/edge/fleetsync.py
+++ b/src/pomeloward/edge/fleetsync.py
@@ -11,6 +11,7 @@
 from pomeloward import quota
 from pomeloward import retry
 from pomeloward import settings
+from pomeloward.edge import quarantinereporter
 
 # Interval on a host that callers are not sent to, unless a request arrives
 # or the membership changes.
@@ -21,7 +22,8 @@
     """Keeps this host's share of the fleet's limits up to date.
 
     The limits are the teams' rates, the retry budgets and the targets'
-    slots. Active hosts are those that callers are sent to.
+    slots. The reports of the quarantine are sent with theirs. Active hosts
+    are those that callers are sent to.
     """
 
     def __init__(
@@ -32,6 +34,7 @@
         retry_budgets: retry.ServiceRetryBudgets,
         balancer: balance.Balancer,
         target_limits: balance.TargetLimits,
+        quarantine_reporter: quarantinereporter.QuarantineReporter,
         current_bounds: collections.abc.Callable[[], settings.OperatorBounds],
     ) -> None:
         """Register the handlers of all kinds of reports with ``peers``.
@@ -44,6 +47,7 @@
         self._retry_budgets = retry_budgets
         self._balancer = balancer
         self._target_limits = target_limits
+        self._quarantine_reporter = quarantine_reporter
         self._current_bounds = current_bounds
         self._zone_report_tracker = quota.ZoneReportTracker(
             membership.own_member.zone
@@ -110,6 +114,9 @@
         if is_active:
             self._report_unhealthy_targets(all_active_members, now_ms)
             self._report_target_limits(all_active_members, now_ms)
+        self._quarantine_reporter.send_reports(
+            is_active, all_active_members, now_ms
+        )
         bounds = self._current_bounds()
         host_count = max(len(all_active_members), membership.zone_count)
         # A host that is still starting may become one of the active ones.
--- a/src/pomeloward/edge/hostcomponents.py
+++ b/src/pomeloward/edge/hostcomponents.py
@@ -11,6 +11,7 @@
 from pomeloward import observability
 from pomeloward import peer
 from pomeloward import policy as policies
+from pomeloward import quarantine
 from pomeloward import quota
 from pomeloward import relay
 from pomeloward import replica
@@ -20,6 +21,7 @@
 from pomeloward.edge import fleetsync
 from pomeloward.edge import logevents
 from pomeloward.edge import peeraddressresolver
+from pomeloward.edge import quarantinereporter
 
 # The settings contain no secret; the platform's network is closed to
 # outsiders.
@@ -115,6 +117,9 @@
             host_settings.bounds.retry_slack,
             host_settings.is_first_start,
         )
+        request_quarantine = quarantine.RequestQuarantine(
+            logevents.log_quarantine
+        )
         target_client = relay.TargetClient(
             self.target_links,
             http_conventions,
@@ -131,6 +136,7 @@
                 self._balancer,
                 target_client,
                 retry_budgets,
+                request_quarantine,
             ),
             self.open_requests,
             self.metrics,
@@ -142,6 +148,9 @@
             retry_budgets,
             self._balancer,
             target_limits,
+            quarantinereporter.QuarantineReporter(
+                self.membership, self.peers, request_quarantine
+            ),
             current_bounds,
         )
         self.open_requests.on_started = self.fleet_sync.wake
@@ -155,6 +164,10 @@
             "pomeloward_limited_targets",
             lambda: target_limits.limited_count,
         )
+        self.metrics.register_gauge(
+            "pomeloward_quarantined_requests",
+            lambda: request_quarantine.quarantined_count(model.now_ms()),
+        )
 
     def caller_timeouts(self) -> entry.CallerTimes:
         """Return the current configuration's timeouts for callers.
--- a/src/pomeloward/edge/logevents.py
+++ b/src/pomeloward/edge/logevents.py
@@ -2,6 +2,7 @@
 
 import eliot
 
+from pomeloward import model
 from pomeloward import replica
 
 
@@ -38,6 +39,20 @@
     )
 
 
+def log_quarantine(
+    fingerprint: model.RequestFingerprint,
+    crash_count: int,
+    remaining_ms: float,
+) -> None:
+    """Log that a request is quarantined, or no longer if no time is left."""
+    eliot.log_message(
+        message_type="quarantine" if remaining_ms > 0 else "quarantine:ended",
+        fingerprint=fingerprint,
+        crashes=crash_count,
+        remaining_ms=round(remaining_ms),
+    )
+
+
 def log_replica_change(change: replica.Change) -> None:
     """Log a change of the replica with the store's era and revision."""
     position = {
--- a/src/pomeloward/relay/attemptresult.py
+++ b/src/pomeloward/relay/attemptresult.py
@@ -13,7 +13,8 @@
 
     ``detail`` explains ``outcome`` in the log. ``not_run_proof`` is given
     if the attempt certainly did not run the request, and ``response`` if
-    there is one that may be passed on.
+    there is one that may be passed on. ``is_unanswered`` tells that the
+    target closed the connection instead of answering.
     """
 
     attempt: balance.Attempt
@@ -21,6 +22,7 @@
     detail: str
     not_run_proof: model.NotRunProof | None = None
     response: targetresponse.TargetResponse | None = None
+    is_unanswered: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/src/pomeloward/relay/forwarder.py
+++ b/src/pomeloward/relay/forwarder.py
@@ -7,6 +7,7 @@
 
 from pomeloward import balance
 from pomeloward import model
+from pomeloward import quarantine
 from pomeloward import retry
 from pomeloward.relay import admittedrequest
 from pomeloward.relay import attemptresult
@@ -33,7 +34,8 @@
     A request that may run more than once is retried at another target when
     an attempt fails, and gets a backup attempt when an attempt takes longer
     than usual; the first good response counts. Any other request is retried
-    only with a proof that it has not run.
+    only with a proof that it has not run. A quarantined request is refused,
+    and not retried either.
     """
 
     def __init__(
@@ -42,11 +44,13 @@
         balancer: balance.Balancer,
         target_client: targetclient.TargetClient,
         retry_budgets: retry.ServiceRetryBudgets,
+        request_quarantine: quarantine.RequestQuarantine,
     ) -> None:
         self._slot_allocator = slot_allocator
         self._balancer = balancer
         self._target_client = target_client
         self._retry_budgets = retry_budgets
+        self._quarantine = request_quarantine
 
     async def forward(
         self,
@@ -92,9 +96,7 @@
     ) -> ForwardResult:
         """Start attempts until one succeeds or no other may be made."""
         request = state.request
-        acquired = await self._slot_allocator.acquire(
-            request, state.tried_target_ids
-        )
+        acquired = await self._acquire_first(state)
         if acquired.is_error():
             return expression.Error(acquired.error)
         log_entry.waited_ms = model.now_ms() - request.arrived_at_ms
@@ -118,6 +120,43 @@
             if result.response is not None:
                 await result.response.aclose()
 
+    async def _acquire_first(
+        self, state: forwardingstate.ForwardingState
+    ) -> slotallocator.AcquireResult:
+        """Take a slot for the first attempt, unless it is quarantined.
+
+        It may be quarantined while it waits for the slot.
+        """
+        request = state.request
+        refusal = self._refuse_quarantined(request)
+        if refusal is not None:
+            return expression.Error(refusal)
+        acquired = await self._slot_allocator.acquire(
+            request, state.tried_target_ids
+        )
+        refusal = self._refuse_quarantined(request)
+        if refusal is None or acquired.is_error():
+            return acquired
+        self._slot_allocator.release(
+            acquired.ok, balance.Outcome.ABANDONED, request
+        )
+        return expression.Error(refusal)
+
+    def _refuse_quarantined(
+        self, request: admittedrequest.AdmittedRequest
+    ) -> model.Refusal | None:
+        """Return the refusal of a quarantined request, None for others."""
+        remaining_ms = self._quarantine.remaining_ms(
+            request.fingerprint, model.now_ms()
+        )
+        if remaining_ms <= 0:
+            return None
+        return model.Refusal(
+            model.ErrorKind.REQUEST_QUARANTINED,
+            "targets have crashed under this request",
+            retry_after_ms=remaining_ms,
+        )
+
     async def _wait_for_result(
         self,
         state: forwardingstate.ForwardingState,
@@ -159,7 +198,11 @@
         """
         request = state.request
         budget = self._retry_budgets.budget_for(request.service_id)
-        if not self._may_repeat(state) or not self._has_time_left(request):
+        if (
+            not self._may_repeat(state)
+            or not self._has_time_left(request)
+            or self._refuse_quarantined(request) is not None
+        ):
             return None
         if is_early and not (
             budget.is_half_full
@@ -186,7 +229,11 @@
         """
         request = state.request
         is_safe = result.not_run_proof is not None or request.can_repeat
-        if not is_safe or not request.body.can_replay:
+        if (
+            not is_safe
+            or not request.body.can_replay
+            or self._refuse_quarantined(request) is not None
+        ):
             return None
         if result.outcome is _UNREACHABLE:
             if state.unreachable_count >= _MAX_UNREACHABLE_ATTEMPTS:
@@ -281,6 +328,7 @@
                     request, attempt, target, state.run_evidence
                 )
             outcome, detail = result.outcome, result.detail
+            self._record_crash_or_survival(request, result)
             if result.response is not None:
                 body_rest = result.response.body_rest
             if body_rest is not None:
@@ -299,6 +347,20 @@
             if body_rest is None:
                 release(outcome)
 
+    def _record_crash_or_survival(
+        self,
+        request: admittedrequest.AdmittedRequest,
+        result: attemptresult.AttemptResult,
+    ) -> None:
+        """Tell the quarantine what the attempt did to its target."""
+        now_ms = model.now_ms()
+        if result.is_unanswered:
+            self._quarantine.record_crash(
+                request.fingerprint, result.attempt.target_id, now_ms
+            )
+        elif result.response is not None:
+            self._quarantine.record_survival(request.fingerprint, now_ms)
+
     def _conclude_failure(
         self,
         state: forwardingstate.ForwardingState,
--- a/src/pomeloward/relay/targetclient.py
+++ b/src/pomeloward/relay/targetclient.py
@@ -82,6 +82,7 @@
         link = self._get_link(target)
         link.enter(model.now_ms())
         send_observer = _SendObserver(run_evidence)
+        response: httpx.Response | None = None
         try:
             response = await link.transport.handle_async_request(
                 self._make_request(request, target, link, send_observer)
@@ -92,7 +93,10 @@
             )
         except httpx.HTTPError as error:
             return _transport_failure(
-                attempt, error, send_observer.has_started
+                attempt,
+                error,
+                send_observer.has_started,
+                is_unanswered=response is None,
             )
         finally:
             link.leave(model.now_ms())
@@ -297,13 +301,19 @@
 
 
 def _transport_failure(
-    attempt: balance.Attempt, error: httpx.HTTPError, is_sent: bool
+    attempt: balance.Attempt,
+    error: httpx.HTTPError,
+    is_sent: bool,
+    is_unanswered: bool,
 ) -> attemptresult.AttemptResult:
     """Return the result of an attempt that failed without a response."""
     error_name = type(error).__name__
     if is_sent:
         return attemptresult.AttemptResult(
-            attempt, balance.Outcome.ERROR, error_name
+            attempt,
+            balance.Outcome.ERROR,
+            error_name,
+            is_unanswered=is_unanswered,
         )
     not_run_proof = model.NotRunProof(model.NotRunReason.NOT_SENT, error_name)
     return attemptresult.AttemptResult(
--- a/tests/edge/test_fleetsync.py
+++ b/tests/edge/test_fleetsync.py
@@ -11,10 +11,12 @@
 from pomeloward import fleet
 from pomeloward import model
 from pomeloward import policy as policies
+from pomeloward import quarantine
 from pomeloward import quota
 from pomeloward import retry
 from pomeloward import settings
 from pomeloward.edge import fleetsync
+from pomeloward.edge import quarantinereporter
 from tests.balance import factories
 
 _READY = fleet.MemberState.READY
@@ -67,6 +69,7 @@
                 fleet.Heartbeat(own=_make_member(host, zone)), 0.0
             )
         self.retry_budgets = retry.ServiceRetryBudgets(0.2, 60.0, True)
+        self.quarantine = quarantine.RequestQuarantine(lambda *_: None)
         self.rate_limiter = quota.TeamRateLimiter(True)
         self.target_limits = balance.TargetLimits(
             factories.LOCAL_ZONE, lambda *_: None, random.Random(1)
@@ -81,6 +84,9 @@
             self.retry_budgets,
             self.balancer,
             self.target_limits,
+            quarantinereporter.QuarantineReporter(
+                membership, self.peers, self.quarantine
+            ),
             settings.OperatorBounds,
         )
 
--- a/tests/relay/test_forwarder.py
+++ b/tests/relay/test_forwarder.py
@@ -7,6 +7,7 @@
 import trio.testing
 
 from pomeloward import balance
+from pomeloward import quarantine
 from pomeloward import relay
 from pomeloward import retry
 from pomeloward.relay import attemptresult
@@ -65,6 +66,7 @@
             self.balancer,
             self.target_client,
             retry.ServiceRetryBudgets(0.2, 60.0, True),
+            quarantine.RequestQuarantine(lambda *_: None),
         )
 
     async def forward(self):
