Tell crashes of targets from connections that they only close

Found by reading the quarantine again, not seen by callers: a grey target that closes connections, or the reset of all of a host's connections, counted as crashes. Popular requests that ran then would have been refused for minutes after the fault.

Cause: a closed connection was taken for a crash of its target, and each run of a request for evidence of its own although the runs ended together.

Change: a target has crashed if it also accepts no new connection, which costs one connection for each unanswered request. Runs that were under way at an earlier crash don't count again.

--- a/bench/plants.py
+++ b/bench/plants.py
@@ -149,6 +149,27 @@
         "self._capacity_tokens",
         ("tests/retry",),
     ),
+    Plant(
+        "deadly-request-not-quarantined",
+        _SOURCE + "quarantine/requestquarantine.py",
+        "            suspect.crash_count >= CRASH_LIMIT\n",
+        "            suspect.crash_count < 0\n",
+        ("tests/platform/test_deadlyrequests.py",),
+    ),
+    Plant(
+        "crashes-not-reported",
+        _SOURCE + "edge/quarantinereporter.py",
+        "if self._quarantine.has_news:",
+        "if False:",
+        ("tests/platform/test_deadlyrequests.py",),
+    ),
+    Plant(
+        "closed-connection-taken-for-a-crash",
+        _SOURCE + "relay/targetclient.py",
+        "result.has_crashed_target = not is_up",
+        "result.has_crashed_target = True",
+        ("tests/platform/test_deadlyrequests.py",),
+    ),
 )
 
 
--- a/src/pomeloward/edge/hostcomponents.py
+++ b/src/pomeloward/edge/hostcomponents.py
@@ -127,6 +127,7 @@
             lambda target_id, limit_per_s: target_limits.record_answer(
                 target_id, limit_per_s, model.now_ms()
             ),
+            relay.TcpTargetProbe(host_settings.callers.ip_address),
         )
         self.app = relay.Application(
             http_conventions,
--- a/src/pomeloward/edge/quarantinereporter.py
+++ b/src/pomeloward/edge/quarantinereporter.py
@@ -38,7 +38,7 @@
     ) -> None:
         """Send what is new, and what is due again on an active host."""
         if self._quarantine.has_news:
-            self._notify(all_active_members, self._quarantine.pop_news())
+            self._notify(all_active_members, self._quarantine.pop_news(now_ms))
         quarantined = self._quarantine.quarantined(now_ms)
         if not is_active or not quarantined:
             return
--- a/src/pomeloward/quarantine/messages.py
+++ b/src/pomeloward/quarantine/messages.py
@@ -7,10 +7,14 @@
 
 
 class TargetCrash(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """A connection that a target closed instead of answering a request."""
+    """The crash of a target that ran a request.
+
+    The target had run it for ``run_ms``; since then ``age_ms`` have passed.
+    """
 
     fingerprint: model.RequestFingerprint
-    target: model.TargetId
+    run_ms: int
+    age_ms: int
 
 
 class QuarantinedRequest(
--- a/src/pomeloward/quarantine/requestquarantine.py
+++ b/src/pomeloward/quarantine/requestquarantine.py
@@ -11,9 +11,10 @@
 # also concern requests that ran beside such a one, twice by chance.
 CRASH_LIMIT = 3
 # Length of the first quarantine. After it one crash renews the quarantine,
-# for twice the time, up to the longest one.
+# for a multiple of the time, up to the longest one.
 QUARANTINE_MS = 300_000.0
-_MAX_QUARANTINE_MS = 3_600_000.0
+_QUARANTINE_GROWTH_RATIO = 6.0
+_MAX_QUARANTINE_MS = 86_400_000.0
 # Interval of reports to hosts that may have started since.
 REPORT_INTERVAL_MS = 2_000.0
 # A report of the quarantine may be on its way when a target survives.
@@ -30,15 +31,14 @@
 class RequestQuarantine:
     """Counts crashes of targets under equal requests, and refuses these.
 
-    A target that closes the connection instead of answering may have crashed
-    under the request, or under another one that it ran beside it. Only a
-    request under which that happens again and again, while no target ever
-    runs it whole, is quarantined. Hosts report crashes to each other, since
-    a repeated request may come to any of them.
+    A target may have crashed under a request, or under another one that it
+    ran beside it. Only a request under which targets crash again and again,
+    while none ever runs it whole, is quarantined. Hosts report crashes to
+    each other, since a repeated request may come to any of them.
 
     Example::
 
-        quarantine.record_crash(request.fingerprint, target_id, now_ms)
+        quarantine.record_crash(fingerprint, started_at_ms, now_ms)
         if quarantine.remaining_ms(request.fingerprint, now_ms) > 0:
             ...  # refuse the request
     """
@@ -57,7 +57,10 @@
         self._survived_at_ms: collections.OrderedDict[
             model.RequestFingerprint, float
         ] = collections.OrderedDict()
-        self._new_crashes: list[messages.TargetCrash] = []
+        # Crashes that other hosts have to hear of, with their start and end.
+        self._new_crashes: list[
+            tuple[model.RequestFingerprint, float, float]
+        ] = []
         self._new_survivals: list[model.RequestFingerprint] = []
 
     def remaining_ms(
@@ -79,14 +82,12 @@
     def record_crash(
         self,
         fingerprint: model.RequestFingerprint,
-        target_id: model.TargetId,
+        started_at_ms: float,
         now_ms: float,
     ) -> None:
-        """Count a crash that this host saw."""
-        if self._add_crash(fingerprint, target_id, now_ms):
-            self._new_crashes.append(
-                messages.TargetCrash(fingerprint, target_id)
-            )
+        """Count the crash of a target under a run of this host's request."""
+        if self._add_crash(fingerprint, started_at_ms, now_ms, now_ms):
+            self._new_crashes.append((fingerprint, started_at_ms, now_ms))
             del self._new_crashes[:-_MAX_REPORTED]
 
     def record_survival(
@@ -106,7 +107,11 @@
             if fingerprint in self._suspects:
                 self._forget(fingerprint, now_ms)
         for crash in report.crashes[:_MAX_REPORTED]:
-            self._add_crash(crash.fingerprint, crash.target, now_ms)
+            crashed_at_ms = now_ms - max(0, crash.age_ms)
+            started_at_ms = crashed_at_ms - max(0, crash.run_ms)
+            self._add_crash(
+                crash.fingerprint, started_at_ms, crashed_at_ms, now_ms
+            )
         for quarantined in report.quarantined[:_MAX_REPORTED]:
             survived_at_ms = self._survived_at_ms.get(
                 quarantined.fingerprint, float("-inf")
@@ -125,10 +130,19 @@
         """Whether other hosts haven't been told of everything yet."""
         return bool(self._new_crashes or self._new_survivals)
 
-    def pop_news(self) -> messages.CrashReport:
+    def pop_news(self, now_ms: float) -> messages.CrashReport:
         """Return the crashes and survivals since the last call."""
         report = messages.CrashReport(
-            crashes=tuple(self._new_crashes),
+            crashes=tuple(
+                messages.TargetCrash(
+                    fingerprint,
+                    int(crashed_at_ms - started_at_ms),
+                    int(now_ms - crashed_at_ms),
+                )
+                for fingerprint, started_at_ms, crashed_at_ms in (
+                    self._new_crashes
+                )
+            ),
             survived=tuple(self._new_survivals),
         )
         self._new_crashes.clear()
@@ -150,12 +164,13 @@
     def _add_crash(
         self,
         fingerprint: model.RequestFingerprint,
-        target_id: model.TargetId,
+        started_at_ms: float,
+        crashed_at_ms: float,
         now_ms: float,
     ) -> bool:
-        """Count a crash; return whether it was not known yet."""
+        """Count a crash; return whether it is further evidence."""
         suspect = self._suspect(fingerprint)
-        if not suspect.add_crash(target_id, now_ms):
+        if not suspect.add_crash(started_at_ms, crashed_at_ms):
             return False
         if (
             suspect.crash_count >= CRASH_LIMIT
@@ -163,7 +178,10 @@
         ):
             suspect.quarantine_ms = min(
                 _MAX_QUARANTINE_MS,
-                max(QUARANTINE_MS, 2 * suspect.quarantine_ms),
+                max(
+                    QUARANTINE_MS,
+                    _QUARANTINE_GROWTH_RATIO * suspect.quarantine_ms,
+                ),
             )
             self._quarantine_until(
                 fingerprint, now_ms + suspect.quarantine_ms, now_ms
--- a/src/pomeloward/relay/__init__.py
+++ b/src/pomeloward/relay/__init__.py
@@ -9,3 +9,5 @@
 from pomeloward.relay.requestlogentry import RequestLogEntry as RequestLogEntry
 from pomeloward.relay.slotallocator import SlotAllocator as SlotAllocator
 from pomeloward.relay.targetclient import TargetClient as TargetClient
+from pomeloward.relay.targetprobe import TargetProbe as TargetProbe
+from pomeloward.relay.targetprobe import TcpTargetProbe as TcpTargetProbe
--- a/src/pomeloward/relay/attemptresult.py
+++ b/src/pomeloward/relay/attemptresult.py
@@ -13,8 +13,9 @@
 
     ``detail`` explains ``outcome`` in the log. ``not_run_proof`` is given
     if the attempt certainly did not run the request, and ``response`` if
-    there is one that may be passed on. ``is_unanswered`` tells that the
-    target closed the connection instead of answering.
+    there is one that may be passed on. ``has_crashed_target`` tells
+    that the target closed the connection instead of answering, and accepts
+    no other one.
     """
 
     attempt: balance.Attempt
@@ -22,7 +23,7 @@
     detail: str
     not_run_proof: model.NotRunProof | None = None
     response: targetresponse.TargetResponse | None = None
-    is_unanswered: bool = False
+    has_crashed_target: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/src/pomeloward/relay/forwarder.py
+++ b/src/pomeloward/relay/forwarder.py
@@ -354,9 +354,9 @@
     ) -> None:
         """Tell the quarantine what the attempt did to its target."""
         now_ms = model.now_ms()
-        if result.is_unanswered:
+        if result.has_crashed_target:
             self._quarantine.record_crash(
-                request.fingerprint, result.attempt.target_id, now_ms
+                request.fingerprint, result.attempt.started_at_ms, now_ms
             )
         elif result.response is not None:
             self._quarantine.record_survival(request.fingerprint, now_ms)
--- a/src/pomeloward/relay/targetclient.py
+++ b/src/pomeloward/relay/targetclient.py
@@ -17,6 +17,7 @@
 from pomeloward.relay import attemptresult
 from pomeloward.relay import httpconventions
 from pomeloward.relay import responsereader
+from pomeloward.relay import targetprobe as targetprobes
 
 # A round trip takes at most 3 ms. A target that accepts no connection in this
 # time is down, cut off or overloaded, and the request can still be sent to
@@ -53,7 +54,8 @@
 
     ``max_connections_for`` returns how many connections this host may open
     to a target of a service. ``on_rate_limit`` is called with the limit in
-    requests per second that a target names in an answer.
+    requests per second that a target names in an answer. ``target_probe``
+    tells whether a target that closed a connection has crashed.
     """
 
     def __init__(
@@ -62,11 +64,13 @@
         conventions: httpconventions.HttpConventions,
         max_connections_for: collections.abc.Callable[[model.ServiceId], int],
         on_rate_limit: OnRateLimit,
+        target_probe: targetprobes.TargetProbe,
     ) -> None:
         self._links = target_links
         self._conventions = conventions
         self._max_connections_for = max_connections_for
         self._on_rate_limit = on_rate_limit
+        self._target_probe = target_probe
 
     async def send(
         self,
@@ -92,12 +96,13 @@
                 request, attempt, response, run_evidence
             )
         except httpx.HTTPError as error:
-            return _transport_failure(
-                attempt,
-                error,
-                send_observer.has_started,
-                is_unanswered=response is None,
+            result = _transport_failure(
+                attempt, error, send_observer.has_started
             )
+            if send_observer.has_started and response is None:
+                is_up = await self._target_probe.accepts_connections(target)
+                result.has_crashed_target = not is_up
+            return result
         finally:
             link.leave(model.now_ms())
 
@@ -301,19 +306,13 @@
 
 
 def _transport_failure(
-    attempt: balance.Attempt,
-    error: httpx.HTTPError,
-    is_sent: bool,
-    is_unanswered: bool,
+    attempt: balance.Attempt, error: httpx.HTTPError, is_sent: bool
 ) -> attemptresult.AttemptResult:
     """Return the result of an attempt that failed without a response."""
     error_name = type(error).__name__
     if is_sent:
         return attemptresult.AttemptResult(
-            attempt,
-            balance.Outcome.ERROR,
-            error_name,
-            is_unanswered=is_unanswered,
+            attempt, balance.Outcome.ERROR, error_name
         )
     not_run_proof = model.NotRunProof(model.NotRunReason.NOT_SENT, error_name)
     return attemptresult.AttemptResult(
