Record the timeline of hosts without a path, and log address answers

Request lines could not tell whether callers were still sent to these hosts or kept an old answer, so a host now logs each change of the hosts that it names to the callers of a zone. No decision is changed.

--- a/src/pomeloward/edge/hostinfo.py
+++ b/src/pomeloward/edge/hostinfo.py
@@ -3,6 +3,8 @@
 import collections.abc
 import typing
 
+import eliot
+
 from pomeloward import fleet
 from pomeloward import model
 from pomeloward import observability
@@ -55,6 +57,7 @@
         )
         self._lookup_format = lookup_format
         self._metrics = metrics
+        self._logged_addresses: dict[model.ZoneId, list[str]] = {}
 
     async def __call__(
         self, scope: Scope, receive: typing.Any, send: Send
@@ -87,6 +90,7 @@
             for member in self._membership.members_for_callers(zone, now_ms)
         ]
         self._metrics.increment("pomeloward_address_answers_total")
+        self._log_changed_addresses(zone, addresses)
         if not addresses:
             await _send_response(send, 503, b"")
             return
@@ -95,6 +99,17 @@
         )
         await _send_response(send, 200, body, b"application/json")
 
+    def _log_changed_addresses(
+        self, zone: model.ZoneId, addresses: list[str]
+    ) -> None:
+        """Log the hosts that callers of a zone are sent to from now on."""
+        is_known = zone in self._membership.zones
+        if is_known and self._logged_addresses.get(zone) != addresses:
+            self._logged_addresses[zone] = addresses
+            eliot.log_message(
+                message_type="addresses", zone=zone, hosts=addresses
+            )
+
 
 async def _send_response(
     send: Send, status: int, body: bytes, content_type: bytes = b"text/plain"
