Serve the callers of hosts that have lost their path to targets

Cause: whether a host can reach targets was no part of its state.

A host that reaches none says so in its heartbeat at once, and callers are sent to hosts with a path, of other zones if need be. Requests that still come are relayed to such a host, which gets the digest of the key and treats them like those of its callers; the relaying host counts them for no rate. Hosts without requests check themselves when another one has lost its path. If no host has a path, the targets are away, and all is as before. Suspicions end with the loss, since they told of the path.

--- a/bench/plants.py
+++ b/bench/plants.py
@@ -163,6 +163,27 @@
         "if False:",
         ("tests/platform/test_deadlyrequests.py",),
     ),
+    Plant(
+        "host-without-path-named-to-callers",
+        _SOURCE + "fleet/membership.py",
+        "[member for member in ready if member.has_target_path]",
+        "ready",
+        ("tests/platform/test_pathloss.py",),
+    ),
+    Plant(
+        "host-without-path-serves-alone",
+        _SOURCE + "relay/relayingforwarder.py",
+        "        if self._path_monitor.is_lost:\n            relayed",
+        "        if False:\n            relayed",
+        ("tests/platform/test_pathloss.py",),
+    ),
+    Plant(
+        "suspicions-kept-with-the-path-back",
+        _SOURCE + "edge/hostcomponents.py",
+        "self._balancer.forget_suspicions(now_ms)",
+        "pass",
+        ("tests/platform/test_pathloss.py",),
+    ),
     Plant(
         "closed-connection-taken-for-a-crash",
         _SOURCE + "relay/targetclient.py",
--- a/src/pomeloward/balance/balancer.py
+++ b/src/pomeloward/balance/balancer.py
@@ -318,6 +318,17 @@
                 state.health.is_suspected,
             )
 
+    def forget_suspicions(self, now_ms: float) -> None:
+        """Trust all targets again, for example after a fault of this host.
+
+        Targets that are still at fault are suspected anew by attempts.
+        """
+        for service_states in self._target_states.values():
+            for state in service_states.values():
+                if state.health.is_suspected:
+                    state.health.end_suspicion()
+                    self._on_suspicion_change(state.target, "", False)
+
     def _trial_policy(self, is_repeatable: bool) -> selection.TrialPolicy:
         if not self._is_active:
             return selection.TrialPolicy.NONE
--- a/src/pomeloward/balance/targethealth.py
+++ b/src/pomeloward/balance/targethealth.py
@@ -135,10 +135,15 @@
         self._successes_since_suspicion += 1
         self._next_trial_at_ms = now_ms
         if self._successes_since_suspicion >= _REQUIRED_SUCCESSES:
-            self.is_suspected = False
-            self.suspicion_reason = ""
-            self._error_ratio = 0.0
-            self._trial_delay_ms = FIRST_TRIAL_DELAY_MS
+            self.end_suspicion()
+
+    def end_suspicion(self) -> None:
+        """Trust the target again, with nothing held against it."""
+        self.is_suspected = False
+        self.suspicion_reason = ""
+        self._consecutive_errors = 0
+        self._error_ratio = 0.0
+        self._trial_delay_ms = FIRST_TRIAL_DELAY_MS
 
     def _record_error(self, now_ms: float) -> None:
         self._last_error_at_ms = now_ms
--- a/src/pomeloward/edge/edgeserver.py
+++ b/src/pomeloward/edge/edgeserver.py
@@ -30,6 +30,8 @@
 # Ratio of the file descriptors that are for callers; the others are for
 # targets and peers.
 _CALLER_DESCRIPTORS_RATIO = 0.6
+# Ratio of those that are for requests which peers relay.
+_RELAY_DESCRIPTORS_RATIO = 0.1
 _MAX_HEADER_BYTES = 65_536
 _TICK_INTERVAL_S = 0.1
 # A host without requests has nothing to measure. Most hosts of a large fleet
@@ -119,6 +121,7 @@
                 for listener in listeners:
                     await listener.close()
                 await components.target_links.aclose()
+                await components.peer_links.aclose()
         eliot.log_message(message_type="stop", host=host_settings.host)
 
     def start_shutdown(self) -> None:
@@ -130,6 +133,7 @@
         )
         self._shutdown_started.set()
         self._components.app.is_draining = True
+        self._components.relay_app.is_draining = True
         self._components.heartbeats.set_state(fleet.MemberState.DRAINING)
         eliot.log_message(
             message_type="drain",
@@ -158,8 +162,21 @@
             _MAX_HEADER_BYTES,
             components.caller_timeouts,
         )
+        relay_listeners = (
+            ()
+            if host_settings.relay is None
+            else (
+                httplistener.HttpListener(
+                    components.relay_app,
+                    host_settings.relay,
+                    int(host_settings.descriptors * _RELAY_DESCRIPTORS_RATIO),
+                    2 * _MAX_HEADER_BYTES,
+                ),
+            )
+        )
         return (
             request_listener,
+            *relay_listeners,
             *(
                 httplistener.HttpListener(
                     host_info,
@@ -189,6 +206,8 @@
             components.fleet_sync.run,
             components.slot_allocator.run,
             components.target_links.run,
+            components.peer_links.run,
+            components.path_watcher.run,
             self._handle_signals,
             self._poll_settings,
         )
--- a/src/pomeloward/edge/fleetsync.py
+++ b/src/pomeloward/edge/fleetsync.py
@@ -106,11 +106,17 @@
             now_ms,
         )
         usage_report = self._rate_limiter.pop_usage_report()
-        if usage_report.teams or is_active:
+        # A zone whose usual hosts have lost their path is not silent: they
+        # leave its part of the rates to the hosts that serve its callers.
+        is_usually_active = is_active or any(
+            member.host == own_host
+            for member in membership.usual_active_members(own_zone, now_ms)
+        )
+        if usage_report.teams or is_usually_active:
             for member in all_active_members:
                 if member.host != own_host:
                     self._peers.notify(member.host, usage_report)
-        self._is_idle = not is_active and not usage_report.teams
+        self._is_idle = not is_usually_active and not usage_report.teams
         if is_active:
             self._report_unhealthy_targets(all_active_members, now_ms)
             self._report_target_limits(all_active_members, now_ms)
--- a/src/pomeloward/edge/hostcomponents.py
+++ b/src/pomeloward/edge/hostcomponents.py
@@ -33,6 +33,8 @@
 # hosts of other zones and replacements of stopped hosts connect to it too.
 _CONNECTION_PARTS_PER_ZONE = 4
 _MIN_CONNECTIONS_PER_TARGET = 2
+# Connections to peers are needed only while requests are relayed.
+_PEER_IDLE_MS = 5_000.0
 
 
 class HostComponents:
@@ -92,11 +94,14 @@
             self.peers,
             self._digest_and_state_age_ms,
             self._record_peer_state_age,
-            lambda: self.fleet_sync.wake(),
+            self._handle_changed_membership,
         )
         self.target_links = dispatch.Links(
             _TARGET_IDLE_MS, host_settings.callers.ip_address
         )
+        self.peer_links = dispatch.Links(
+            _PEER_IDLE_MS, host_settings.peers.ip_address
+        )
         self.open_requests = relay.OpenRequests()
         self._rate_limiter = quota.TeamRateLimiter(
             host_settings.is_first_start
@@ -120,6 +125,14 @@
         request_quarantine = quarantine.RequestQuarantine(
             logevents.log_quarantine
         )
+        target_probe = relay.TcpTargetProbe(host_settings.callers.ip_address)
+        self._path_monitor = relay.PathMonitor(
+            self._handle_changed_path, lambda: self.path_watcher.wake()
+        )
+        self.path_watcher = relay.PathWatcher(
+            self._path_monitor, target_probe, self.replica.targets, rng
+        )
+        self._relay_endpoint = host_settings.relay
         target_client = relay.TargetClient(
             self.target_links,
             http_conventions,
@@ -127,17 +140,38 @@
             lambda target_id, limit_per_s: target_limits.record_answer(
                 target_id, limit_per_s, model.now_ms()
             ),
-            relay.TcpTargetProbe(host_settings.callers.ip_address),
+            target_probe,
+        )
+        forwarder = relay.Forwarder(
+            self.slot_allocator,
+            self._balancer,
+            target_client,
+            retry_budgets,
+            request_quarantine,
+            self._path_monitor,
         )
         self.app = relay.Application(
             http_conventions,
             self._admission_control,
-            relay.Forwarder(
-                self.slot_allocator,
-                self._balancer,
-                target_client,
-                retry_budgets,
-                request_quarantine,
+            relay.RelayingForwarder(
+                forwarder,
+                relay.PeerRelay(
+                    self.peer_links,
+                    http_conventions.between_hosts(),
+                    self._find_relay_peers,
+                ),
+                self._path_monitor,
+            ),
+            self.open_requests,
+            self.metrics,
+        )
+        self.relay_app = relay.Application(
+            http_conventions.between_hosts(),
+            self._admission_control,
+            relay.RelayedRequestForwarder(
+                forwarder,
+                self._path_monitor,
+                lambda: bool(self._find_relay_peers()),
             ),
             self.open_requests,
             self.metrics,
@@ -165,6 +199,10 @@
             "pomeloward_limited_targets",
             lambda: target_limits.limited_count,
         )
+        self.metrics.register_gauge(
+            "pomeloward_target_path_lost",
+            lambda: int(self._path_monitor.is_lost),
+        )
         self.metrics.register_gauge(
             "pomeloward_quarantined_requests",
             lambda: request_quarantine.quarantined_count(model.now_ms()),
@@ -234,6 +272,35 @@
                 now_ms - heartbeat.fresh_age_ms
             )
 
+    def _handle_changed_membership(self) -> None:
+        """Adapt to hosts that came, went, or lost their path to targets."""
+        self.fleet_sync.wake()
+        now_ms = model.now_ms()
+        if self.membership.has_member_without_path(now_ms):
+            self._path_monitor.request_check(now_ms)
+
+    def _handle_changed_path(self, is_lost: bool) -> None:
+        """Tell the fleet whether callers can be served through this host."""
+        now_ms = model.now_ms()
+        logevents.log_target_path(is_lost)
+        self.heartbeats.set_target_path(not is_lost)
+        if not is_lost:
+            # What was found while the path was lost tells of the path.
+            self._balancer.forget_suspicions(now_ms)
+
+    def _find_relay_peers(self) -> list[relay.PeerEndpoint]:
+        """Return where hosts with a path to targets take requests."""
+        if self._relay_endpoint is None:
+            return []
+        port = self._relay_endpoint.port
+        return [
+            relay.PeerEndpoint(
+                model.TargetId(member.host),
+                f"http://{member.ip_address}:{port}",
+            )
+            for member in self.membership.relay_members(model.now_ms())
+        ]
+
     def _rank_and_has_peers(self, now_ms: float) -> tuple[int, bool]:
         """Return this host's rank in its zone and whether it hears others."""
         return (
--- a/src/pomeloward/edge/logevents.py
+++ b/src/pomeloward/edge/logevents.py
@@ -39,6 +39,11 @@
     )
 
 
+def log_target_path(is_lost: bool) -> None:
+    """Log that this host can connect to no target, or to some again."""
+    eliot.log_message(message_type="path:lost" if is_lost else "path:regained")
+
+
 def log_quarantine(
     fingerprint: model.RequestFingerprint,
     crash_count: int,
--- a/src/pomeloward/fleet/heartbeatexchange.py
+++ b/src/pomeloward/fleet/heartbeatexchange.py
@@ -128,6 +128,15 @@
         )
         self.send_heartbeats(model.now_ms())
 
+    def set_target_path(self, has_target_path: bool) -> None:
+        """Change whether this host has a path to targets, and tell it."""
+        own_member = self._membership.own_member
+        self._membership.own_member = msgspec.structs.replace(
+            own_member, has_target_path=has_target_path
+        )
+        self._membership_changed.set()
+        self.send_heartbeats(model.now_ms())
+
     def _receive_heartbeat(
         self, sender: model.HostId, message: peer.Message, now_ms: float
     ) -> None:
--- a/src/pomeloward/fleet/member.py
+++ b/src/pomeloward/fleet/member.py
@@ -30,7 +30,8 @@
     ``host`` is the address ``ip:port`` where its peers reach it.
     ``incarnation`` is the wall clock time of its start in ms.
     ``capacity_per_s`` is how many requests/s it can carry, and
-    ``load_per_s`` how many it carried lately.
+    ``load_per_s`` how many it carried lately. ``has_target_path`` is false
+    while it can connect to no target.
     """
 
     host: model.HostId
@@ -39,6 +40,7 @@
     state: MemberState = MemberState.STARTING
     capacity_per_s: int = 100
     load_per_s: int = 0
+    has_target_path: bool = True
 
     @property
     def ip_address(self) -> str:
--- a/src/pomeloward/fleet/membership.py
+++ b/src/pomeloward/fleet/membership.py
@@ -145,14 +145,54 @@
         """Return the active hosts of a zone, which its callers are sent to.
 
         They are the first ready ones whose capacity carries the zone's load
-        with headroom, so that few hosts see most of what a target does.
+        with headroom, so that few hosts see most of what a target does. Hosts
+        without a path to targets are left out, unless no host has one.
+        """
+        return self._first_that_carry_load(
+            self._members_with_path(zone, now_ms), zone, now_ms
+        )
+
+    def usual_active_members(
+        self, zone: model.ZoneId, now_ms: float
+    ) -> list[members.Member]:
+        """Return the hosts that are active while all have a path to targets.
+
+        Callers may still have the addresses of those that lost it.
+        """
+        return self._first_that_carry_load(
+            self.ready_members(zone, now_ms), zone, now_ms
+        )
+
+    def _members_with_path(
+        self, zone: model.ZoneId, now_ms: float
+    ) -> list[members.Member]:
+        """Return the ready hosts of a zone that have a path to targets.
+
+        If no host of the fleet has one, it is the targets that are away, and
+        all ready hosts of the zone are returned.
         """
         ready = self.ready_members(zone, now_ms)
+        with_path = [member for member in ready if member.has_target_path]
+        if with_path or any(
+            member.has_target_path
+            for other_zone in self._zones
+            for member in self.ready_members(other_zone, now_ms)
+        ):
+            return with_path
+        return ready
+
+    def _first_that_carry_load(
+        self,
+        candidates: collections.abc.Iterable[members.Member],
+        zone: model.ZoneId,
+        now_ms: float,
+    ) -> list[members.Member]:
+        """Return the first candidates that carry the load of a zone."""
         needed_per_s = _CAPACITY_HEADROOM_RATIO * sum(
-            member.load_per_s for member in ready
+            member.load_per_s for member in self.ready_members(zone, now_ms)
         )
         active: list[members.Member] = []
-        for member in ready:
+        for member in candidates:
             active.append(member)
             needed_per_s -= member.capacity_per_s
             if needed_per_s <= 0:
@@ -164,10 +204,16 @@
 
         Hosts with little load compared to another one have no part, so that
         few hosts divide what is scarce. Without any load the active hosts
-        have equal parts.
+        have equal parts. Hosts without a path to targets have no part.
         """
         own_zone = self.own_member.zone
-        live = self.live_members(own_zone, now_ms)
+        live = [
+            member
+            for member in self.live_members(own_zone, now_ms)
+            if member.has_target_path
+        ]
+        if not live:
+            return 0.0
         max_load_per_s = max(member.load_per_s for member in live)
         if max_load_per_s > 0:
             loaded = [
@@ -210,6 +256,27 @@
             for member in self.active_members(zone, now_ms)
         ]
 
+    def relay_members(self, now_ms: float) -> list[members.Member]:
+        """Return other active hosts that have a path to targets.
+
+        Those of this host's zone come first.
+        """
+        own_zone = self.own_member.zone
+        return [
+            member
+            for zone in sorted(self._zones, key=lambda one: one != own_zone)
+            for member in self.active_members(zone, now_ms)
+            if member.has_target_path and member.host != self.own_member.host
+        ]
+
+    def has_member_without_path(self, now_ms: float) -> bool:
+        """Return whether any other live host has lost its path to targets."""
+        return any(
+            not member.has_target_path
+            for zone in self._zones
+            for member in self._table.live_members(zone, now_ms)
+        )
+
     @property
     def known_host_count(self) -> int:
         """The number of known hosts, live or not, this one included."""
@@ -290,9 +357,9 @@
             own_zone, _MEMBERS_REPORTED_ACROSS_ZONES, now_ms
         )
         if receiving_member.zone == own_zone:
-            reported = self.live_members(own_zone, now_ms)[
-                :_MEMBERS_REPORTED_WITHIN_ZONE
-            ]
+            reported = self._first_members(
+                own_zone, _MEMBERS_REPORTED_WITHIN_ZONE, now_ms
+            )
             for other_zone in self._zones - {own_zone}:
                 reported += self._first_members(
                     other_zone, _MEMBERS_REPORTED_ACROSS_ZONES, now_ms
@@ -317,12 +384,20 @@
     ) -> list[members.Member]:
         """Return the first live hosts of a zone by precedence.
 
-        Their number is ``min_count``, or one more than that of the active
-        hosts if that is larger. So they include all active hosts even if one
-        host before these is not ready.
+        Their number is ``min_count``, or larger so that they include all
+        active hosts, and the next one, whatever hosts come before these.
         """
-        count = max(min_count, 1 + len(self.active_members(zone, now_ms)))
-        return self.live_members(zone, now_ms)[:count]
+        live = self.live_members(zone, now_ms)
+        active = self.active_members(zone, now_ms)
+        if not active:
+            return live[:min_count]
+        last_active_host = active[-1].host
+        count = next(
+            index + 2
+            for index, member in enumerate(live)
+            if member.host == last_active_host
+        )
+        return live[: max(min_count, count)]
 
     def remove_expired_members(self, now_ms: float) -> None:
         """Remove hosts that have been silent for long."""
--- a/src/pomeloward/fleet/membertable.py
+++ b/src/pomeloward/fleet/membertable.py
@@ -103,6 +103,7 @@
             or known is None
             or known.state is not reported.state
             or known.incarnation != reported.incarnation
+            or known.has_target_path != reported.has_target_path
         )
 
     def reports(
--- a/src/pomeloward/model/answerrule.py
+++ b/src/pomeloward/model/answerrule.py
@@ -45,6 +45,7 @@
     _KIND.QUEUE_TIMEOUT: AnswerRule(503, _NOT_RUN, True),
     _KIND.CONNECTION_LIMIT: AnswerRule(503, _NOT_RUN, True),
     _KIND.NO_CAPACITY: AnswerRule(503, _NOT_RUN, True),
+    _KIND.NO_TARGET_PATH: AnswerRule(503, _NOT_RUN, True),
     _KIND.REQUEST_QUARANTINED: AnswerRule(503, _NOT_RUN, True),
     _KIND.HOST_STARTING: AnswerRule(503, _NOT_RUN, True),
     _KIND.HOST_DRAINING: AnswerRule(503, _NOT_RUN, True),
--- a/src/pomeloward/model/errorkind.py
+++ b/src/pomeloward/model/errorkind.py
@@ -32,6 +32,8 @@
     QUEUE_TIMEOUT = "queue_timeout"
     CONNECTION_LIMIT = "connection_limit"
     NO_CAPACITY = "no_capacity"
+    # The host can connect to no target.
+    NO_TARGET_PATH = "no_target_path"
     # Targets have crashed under the same request again and again.
     REQUEST_QUARANTINED = "request_quarantined"
     HOST_STARTING = "host_starting"
--- a/src/pomeloward/platform/settingsfile.py
+++ b/src/pomeloward/platform/settingsfile.py
@@ -54,6 +54,8 @@
     seeds: list[str] = []
     # True only at the first start of the whole fleet.
     bootstrap: bool = False
+    # First and last of the ports that are free for traffic between hosts.
+    port_range: list[int] = []
     # Texts ``name=value``.
     bounds: list[str] = []
     limits: _LimitsTable = msgspec.field(default_factory=_LimitsTable)
@@ -124,9 +126,20 @@
         link_mbps=parsed.limits.bandwidth_mbps,
         descriptors=max(1, parsed.limits.max_fds - _RESERVED_DESCRIPTORS),
         bounds=_parse_bounds(parsed.bounds),
+        relay=_choose_relay_endpoint(parsed),
     )
 
 
+def _choose_relay_endpoint(
+    parsed: _SettingsFile,
+) -> settings.Endpoint | None:
+    """Return the first free port on the address for peers, None without."""
+    if not parsed.port_range:
+        return None
+    peers = _parse_endpoint("listen.control", parsed.listen.control)
+    return settings.Endpoint(peers.ip_address, parsed.port_range[0])
+
+
 def _parse_endpoint(field: str, text: str) -> settings.Endpoint:
     """Return the endpoint in a text ``ip:port``; ``field`` is for errors."""
     ip_address, _, port = text.rpartition(":")
--- a/src/pomeloward/relay/admittedrequest.py
+++ b/src/pomeloward/relay/admittedrequest.py
@@ -16,6 +16,7 @@
     ``headers`` contain neither the caller's key nor the headers of its
     connection. By ``deadline_ms`` the caller has to get its response.
     ``fingerprint`` is shared with the requests that ask for the same.
+    ``key_digest`` is that of the caller's key, None without one.
     """
 
     id: model.RequestId
@@ -29,6 +30,7 @@
     arrived_at_ms: float
     deadline_ms: float
     fingerprint: model.RequestFingerprint = model.RequestFingerprint("")
+    key_digest: bytes | None = None
 
     @property
     def priority(self) -> int:
--- a/src/pomeloward/relay/application.py
+++ b/src/pomeloward/relay/application.py
@@ -17,7 +17,7 @@
 from pomeloward.relay import admission as admissions
 from pomeloward.relay import admittedrequest
 from pomeloward.relay import exceptiongroups
-from pomeloward.relay import forwarder as forwarders
+from pomeloward.relay import forwarding
 from pomeloward.relay import httpconventions
 from pomeloward.relay import openrequests
 from pomeloward.relay import requesthead
@@ -50,7 +50,7 @@
         self,
         conventions: httpconventions.HttpConventions,
         admission_control: admissions.AdmissionControl,
-        forwarder: forwarders.Forwarder,
+        forwarder: forwarding.Forwarding,
         open_requests: openrequests.OpenRequests,
         metrics: observability.Metrics,
     ) -> None:
@@ -187,11 +187,17 @@
             tasks.start_soon(cancel_on_disconnect)
             forwarded = await self._forward_in_turn(request, turn, log_entry)
             body.stop()
+            # A peer counts the requests that are relayed to it.
+            is_uncounted = (
+                forwarded.error.run_state is model.RunState.NOT_RUN
+                if forwarded.is_error()
+                else forwarded.ok.is_relayed
+            )
+            if is_uncounted:
+                self._admission_control.refund_request(
+                    request.team, model.now_ms()
+                )
             if forwarded.is_error():
-                if forwarded.error.run_state is model.RunState.NOT_RUN:
-                    self._admission_control.refund_request(
-                        request.team, model.now_ms()
-                    )
                 await self._refuse(writer, forwarded.error, log_entry)
             else:
                 try:
@@ -205,7 +211,7 @@
         request: admittedrequest.AdmittedRequest,
         turn: entry.Turn,
         log_entry: requestlogentry.RequestLogEntry,
-    ) -> forwarders.ForwardResult:
+    ) -> forwarding.ForwardResult:
         """Forward a request; one that can't be repeated waits for its turn.
 
         Its caller sends it again if the connection ends before.
@@ -229,7 +235,10 @@
         log_entry: requestlogentry.RequestLogEntry,
     ) -> None:
         """Pass a target's response on, unless its status would mislead."""
-        if response.status in self._conventions.caller_not_run_statuses:
+        if (
+            response.status in self._conventions.caller_not_run_statuses
+            and not response.is_relayed
+        ):
             # With this status the caller would conclude that its request
             # has not run, which is not certain.
             await self._refuse(
@@ -313,6 +322,7 @@
         body=body if head.has_body else entry.NoBody(),
         arrived_at_ms=log_entry.started_at_ms,
         deadline_ms=log_entry.started_at_ms + timeout_ms,
+        key_digest=head.key_digest,
     )
 
 
--- a/src/pomeloward/relay/forwarder.py
+++ b/src/pomeloward/relay/forwarder.py
@@ -12,17 +12,17 @@
 from pomeloward.relay import admittedrequest
 from pomeloward.relay import attemptresult
 from pomeloward.relay import bodyrest
+from pomeloward.relay import forwarding
 from pomeloward.relay import forwardingstate
+from pomeloward.relay import pathmonitor
 from pomeloward.relay import requestlogentry
 from pomeloward.relay import slotallocator
 from pomeloward.relay import targetclient
-from pomeloward.relay import targetresponse
 
 # An unreachable target received nothing, so that an attempt at the next one
 # adds no load; this only ends the search when all targets are down.
 _MAX_UNREACHABLE_ATTEMPTS = 4
 
-ForwardResult = expression.Result[targetresponse.TargetResponse, model.Refusal]
 _UNREACHABLE = balance.Outcome.UNREACHABLE
 _ResultSender = memory.MemoryObjectSendStream[attemptresult.AttemptResult]
 _ResultReceiver = memory.MemoryObjectReceiveStream[attemptresult.AttemptResult]
@@ -45,18 +45,20 @@
         target_client: targetclient.TargetClient,
         retry_budgets: retry.ServiceRetryBudgets,
         request_quarantine: quarantine.RequestQuarantine,
+        path_monitor: pathmonitor.PathMonitor,
     ) -> None:
         self._slot_allocator = slot_allocator
         self._balancer = balancer
         self._target_client = target_client
         self._retry_budgets = retry_budgets
         self._quarantine = request_quarantine
+        self._path_monitor = path_monitor
 
     async def forward(
         self,
         request: admittedrequest.AdmittedRequest,
         log_entry: requestlogentry.RequestLogEntry,
-    ) -> ForwardResult:
+    ) -> forwarding.ForwardResult:
         """Return a target's response, or a refusal.
 
         The refusal says that the request did not run only if that is
@@ -69,7 +71,7 @@
                 attemptresult.AttemptResult
             ](request.route.max_attempts + _MAX_UNREACHABLE_ATTEMPTS + 1)
             with sender, receiver:
-                unused: ForwardResult | None = None
+                unused: forwarding.ForwardResult | None = None
                 try:
                     async with anyio.create_task_group() as tasks:
                         forwarded = await self._run_attempts(
@@ -93,7 +95,7 @@
         tasks: anyio.abc.TaskGroup,
         sender: _ResultSender,
         receiver: _ResultReceiver,
-    ) -> ForwardResult:
+    ) -> forwarding.ForwardResult:
         """Start attempts until one succeeds or no other may be made."""
         request = state.request
         acquired = await self._acquire_first(state)
@@ -344,6 +346,9 @@
                 f"{attempt.target_id} {attempt.selection_reason} "
                 f"{outcome.value} {took_ms:.0f}ms {detail}"
             )
+            self._path_monitor.record_outcome(
+                attempt.target_id, outcome, model.now_ms()
+            )
             if body_rest is None:
                 release(outcome)
 
@@ -365,7 +370,7 @@
         self,
         state: forwardingstate.ForwardingState,
         result: attemptresult.AttemptResult,
-    ) -> ForwardResult:
+    ) -> forwarding.ForwardResult:
         """Return what the caller gets after the last attempt failed.
 
         That is the target's own response if there is one and the request
@@ -389,7 +394,7 @@
     @staticmethod
     def _refuse_timed_out(
         state: forwardingstate.ForwardingState,
-    ) -> ForwardResult:
+    ) -> forwarding.ForwardResult:
         """Return the refusal of a request whose deadline has passed."""
         if state.run_evidence.proof is None:
             kind = model.ErrorKind.TARGET_TIMEOUT
--- a/src/pomeloward/relay/httpconventions.py
+++ b/src/pomeloward/relay/httpconventions.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+# Between hosts, the digest of the caller's key in hexadecimal.
+KEY_DIGEST_HEADER = b"x-key-digest"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpConventions:
@@ -20,7 +23,8 @@
     that it takes from all hosts together.
 
     A response with one of ``caller_not_run_statuses`` promises the caller
-    that its request did not run.
+    that its request did not run. With ``has_key_digests`` requests come from
+    other hosts, with the digest of the caller's key in place of the key.
     """
 
     request_id_header: bytes
@@ -33,3 +37,8 @@
     authorization_prefix: bytes
     target_not_run_statuses: frozenset[int]
     caller_not_run_statuses: frozenset[int]
+    has_key_digests: bool = False
+
+    def between_hosts(self) -> "HttpConventions":
+        """Return the conventions for requests that hosts relay."""
+        return dataclasses.replace(self, has_key_digests=True)
--- /dev/null
+++ b/src/pomeloward/relay/peerrelay.py
@@ -0,0 +1,204 @@
+"""Sends requests through another host that has a path to the targets."""
+
+import collections.abc
+import dataclasses
+
+import anyio
+import expression
+import httpx
+import msgspec
+
+from pomeloward import dispatch
+from pomeloward import model
+from pomeloward.dispatch import outgoing
+from pomeloward.relay import admittedrequest
+from pomeloward.relay import forwarding
+from pomeloward.relay import httpconventions
+from pomeloward.relay import requestbodystream
+from pomeloward.relay import requestlogentry
+from pomeloward.relay import responsereader
+from pomeloward.relay import sendobserver
+
+# Hosts that are tried for a request.
+_MAX_PEERS = 3
+_CONNECT_TIMEOUT_S = 0.25
+_CONNECTIONS_PER_PEER = 64
+_REFUSAL_STATUS = 503
+# Refusals of a host that can serve no request, while another one may.
+_ELSEWHERE_KINDS = frozenset(
+    {
+        model.ErrorKind.NO_TARGET_PATH.value,
+        model.ErrorKind.HOST_STARTING.value,
+        model.ErrorKind.HOST_DRAINING.value,
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerEndpoint:
+    """Where another host takes requests from its peers."""
+
+    id: model.TargetId
+    url: str
+
+
+class _RefusalBody(msgspec.Struct):
+    kind: str = ""
+
+
+class PeerRelay:
+    """Sends requests to peers, which serve them like those of callers.
+
+    A peer gets the digest of the caller's key instead of the key. It checks
+    the request anew, and counts it for the rate of the caller's team.
+    """
+
+    def __init__(
+        self,
+        peer_links: dispatch.Links,
+        conventions: httpconventions.HttpConventions,
+        find_peers: collections.abc.Callable[
+            [], collections.abc.Sequence[PeerEndpoint]
+        ],
+    ) -> None:
+        """Create a relay to the peers that ``find_peers`` returns.
+
+        ``conventions`` are those between hosts.
+        """
+        self._peer_links = peer_links
+        self._conventions = conventions
+        self._find_peers = find_peers
+
+    async def try_forward(
+        self,
+        request: admittedrequest.AdmittedRequest,
+        log_entry: requestlogentry.RequestLogEntry,
+    ) -> forwarding.ForwardResult | None:
+        """Return a peer's response, or a refusal if it may have run.
+
+        Returns None if the request has certainly not run and no peer could
+        serve it.
+        """
+        run_evidence = dispatch.RunEvidence()
+        with anyio.CancelScope(deadline=request.deadline_ms / 1_000):
+            for peer in self._find_peers()[:_MAX_PEERS]:
+                forwarded = await self._try_peer(
+                    peer, request, log_entry, run_evidence
+                )
+                if forwarded is not None:
+                    return forwarded
+                if run_evidence.proof is None and not request.can_repeat:
+                    break
+        if run_evidence.proof is not None:
+            return None
+        has_time = model.now_ms() < request.deadline_ms
+        return expression.Error(
+            model.Refusal(
+                model.ErrorKind.TARGET_FAILED
+                if has_time
+                else model.ErrorKind.TARGET_TIMEOUT,
+                "the request was relayed, and no response came back",
+            )
+        )
+
+    async def _try_peer(
+        self,
+        peer: PeerEndpoint,
+        request: admittedrequest.AdmittedRequest,
+        log_entry: requestlogentry.RequestLogEntry,
+        run_evidence: dispatch.RunEvidence,
+    ) -> forwarding.ForwardResult | None:
+        """Return a peer's response, None if it has none."""
+        started_ms = model.now_ms()
+        observer = sendobserver.SendObserver(run_evidence)
+        detail = "cancelled"
+        link = self._peer_links.find(peer) or self._peer_links.make(
+            peer, _CONNECTIONS_PER_PEER, started_ms
+        )
+        link.enter(started_ms)
+        try:
+            response = await link.transport.handle_async_request(
+                self._make_request(request, link.base, observer)
+            )
+            headers = {
+                name.lower(): value for name, value in response.headers.raw
+            }
+            request_id = headers.get(self._conventions.request_id_header, b"")
+            if request_id.decode("latin-1") != request.id:
+                await response.aclose()
+                detail = "response has another request id"
+                return None
+            peer_response = await responsereader.read_response(
+                request, response
+            )
+            detail = f"answered {peer_response.status}"
+            peer_response.is_relayed = True
+            if _is_refused_elsewhere(
+                peer_response.status, peer_response.body_start
+            ):
+                run_evidence.prove_not_run(
+                    model.NotRunProof(
+                        model.NotRunReason.REFUSED_BY_CONTRACT, detail
+                    )
+                )
+                return None
+            return expression.Ok(peer_response)
+        except httpx.HTTPError as error:
+            detail = type(error).__name__
+            return None
+        finally:
+            now_ms = model.now_ms()
+            link.leave(now_ms)
+            log_entry.attempts.append(
+                f"{peer.id} peer relayed {now_ms - started_ms:.0f}ms {detail}"
+            )
+
+    def _make_request(
+        self,
+        request: admittedrequest.AdmittedRequest,
+        base: httpx.URL,
+        observer: sendobserver.SendObserver,
+    ) -> httpx.Request:
+        """Return the request for a peer, bounded by the caller of it."""
+        conventions = self._conventions
+        remaining_ms = max(1, int(request.deadline_ms - model.now_ms()))
+        headers = [
+            *request.headers,
+            (conventions.request_id_header, request.id.encode("latin-1")),
+            (conventions.timeout_ms_header, b"%d" % remaining_ms),
+        ]
+        if request.key_digest is not None:
+            headers.append(
+                (
+                    httpconventions.KEY_DIGEST_HEADER,
+                    request.key_digest.hex().encode("ascii"),
+                )
+            )
+        timeouts_s = {
+            "connect": _CONNECT_TIMEOUT_S,
+            "pool": _CONNECT_TIMEOUT_S,
+            "read": None,
+            "write": None,
+        }
+        return outgoing.outgoing(
+            request.method,
+            base,
+            request.path_and_query,
+            headers,
+            requestbodystream.RequestBodyStream(request.body),
+            {"timeout": timeouts_s, "trace": observer.observe},
+        )
+
+
+def _is_refused_elsewhere(status: int, body: bytes) -> bool:
+    """Return whether a peer refused what another peer may serve.
+
+    A peer sends no target's response with this status.
+    """
+    if status != _REFUSAL_STATUS:
+        return False
+    try:
+        refusal = msgspec.json.decode(body, type=_RefusalBody)
+    except msgspec.MsgspecError:
+        return False
+    return refusal.kind in _ELSEWHERE_KINDS
--- a/src/pomeloward/relay/requesthead.py
+++ b/src/pomeloward/relay/requesthead.py
@@ -63,7 +63,11 @@
     raw_path = bytes(scope["raw_path"])
     headers: dispatch.Headers = list(scope["headers"])
     head_bytes = len(raw_path) + len(scope["query_string"])
-    head_bytes += sum(len(name) + len(value) + 4 for name, value in headers)
+    head_bytes += sum(
+        len(name) + len(value) + 4
+        for name, value in headers
+        if name != httpconventions.KEY_DIGEST_HEADER
+    )
     if head_bytes > limits.header_bytes:
         return expression.Error(
             model.Refusal(
@@ -78,6 +82,7 @@
         conventions.timeout_ms_header,
         conventions.target_id_header,
         conventions.team_id_header,
+        httpconventions.KEY_DIGEST_HEADER,
     }
     for name, value in headers:
         if name in _SINGLE_HEADERS and name in value_of:
@@ -120,9 +125,7 @@
                 and name not in not_forwarded
                 and name != b"expect"
             ],
-            key_digest=_compute_key_digest(
-                value_of.get(b"authorization"), conventions
-            ),
+            key_digest=_find_key_digest(value_of, conventions),
             timeout_ms=_parse_timeout_ms(
                 value_of.get(conventions.timeout_ms_header)
             ),
@@ -150,10 +153,21 @@
     return host_header.decode("latin-1").lower()
 
 
-def _compute_key_digest(
-    authorization: bytes | None, conventions: httpconventions.HttpConventions
+def _find_key_digest(
+    value_of: collections.abc.Mapping[bytes, bytes],
+    conventions: httpconventions.HttpConventions,
 ) -> bytes | None:
-    """Return the digest of the key in an Authorization header, if any."""
+    """Return the digest of the key in an Authorization header, if any.
+
+    Another host sends the digest itself.
+    """
+    if conventions.has_key_digests:
+        try:
+            digest = value_of.get(httpconventions.KEY_DIGEST_HEADER, b"")
+            return bytes.fromhex(digest.decode("ascii")) or None
+        except ValueError:
+            return None
+    authorization = value_of.get(b"authorization")
     if authorization is None:
         return None
     prefix = conventions.authorization_prefix
--- a/src/pomeloward/relay/targetclient.py
+++ b/src/pomeloward/relay/targetclient.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import math
-import typing
 
 import eliot
 import httpx
@@ -16,15 +15,15 @@
 from pomeloward.relay import admittedrequest
 from pomeloward.relay import attemptresult
 from pomeloward.relay import httpconventions
+from pomeloward.relay import requestbodystream
 from pomeloward.relay import responsereader
+from pomeloward.relay import sendobserver
 from pomeloward.relay import targetprobe as targetprobes
 
 # A round trip takes at most 3 ms. A target that accepts no connection in this
 # time is down, cut off or overloaded, and the request can still be sent to
 # another target.
 CONNECT_TIMEOUT_MS = 250.0
-# httpcore traces this event before it sends the first byte of a request.
-_SEND_STARTED_EVENT = "http11.send_request_headers.started"
 # "Misdirected Request": another server has taken over the target's address.
 _MISDIRECTED_STATUS = 421
 _MAX_LOGGED_BYTES = 40
@@ -38,17 +37,6 @@
 OnRateLimit = collections.abc.Callable[[model.TargetId, float | None], None]
 
 
-class _RequestBodyStream(httpx.AsyncByteStream):
-    """Lets the HTTP transport read a request body from its start."""
-
-    def __init__(self, body: dispatch.Body) -> None:
-        self._body = body
-
-    async def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
-        async for chunk in self._body.chunks():
-            yield chunk
-
-
 class TargetClient:
     """Sends attempts over this host's persistent connections to targets.
 
@@ -85,7 +73,7 @@
         """
         link = self._get_link(target)
         link.enter(model.now_ms())
-        send_observer = _SendObserver(run_evidence)
+        send_observer = sendobserver.SendObserver(run_evidence)
         response: httpx.Response | None = None
         try:
             response = await link.transport.handle_async_request(
@@ -137,7 +125,7 @@
         request: admittedrequest.AdmittedRequest,
         target: replica.Target,
         link: links.Link,
-        send_observer: "_SendObserver",
+        send_observer: sendobserver.SendObserver,
     ) -> httpx.Request:
         """Return the request for the HTTP transport.
 
@@ -166,7 +154,7 @@
             link.base,
             request.path_and_query,
             headers,
-            _RequestBodyStream(request.body),
+            requestbodystream.RequestBodyStream(request.body),
             {"timeout": timeouts_s, "trace": send_observer.observe},
         )
 
@@ -279,23 +267,6 @@
         )
 
 
-class _SendObserver:
-    """Observes whether the transport has started to send a request.
-
-    From then on the target may run it.
-    """
-
-    def __init__(self, run_evidence: dispatch.RunEvidence) -> None:
-        self.has_started = False
-        self._run_evidence = run_evidence
-
-    async def observe(self, event: str, info: dict[str, typing.Any]) -> None:
-        """Record the start of sending; called for each transport event."""
-        if event == _SEND_STARTED_EVENT and not self.has_started:
-            self.has_started = True
-            self._run_evidence.mark_sent()
-
-
 def _parse_rate(text: bytes) -> float | None:
     """Return a rate per second, None if the text is not a decimal number."""
     try:
--- a/src/pomeloward/relay/targetresponse.py
+++ b/src/pomeloward/relay/targetresponse.py
@@ -13,12 +13,15 @@
     ``body_start`` is the whole body unless that is large; ``body_rest`` then
     iterates over the remaining chunks, and is None otherwise. It raises
     ``dispatch.AnswerCut`` when the target ends the response early.
+    ``is_relayed`` tells that a peer served the request, and that its status
+    is meant for the caller.
     """
 
     status: int
     headers: dispatch.Headers
     body_start: bytes
     body_rest: bodyrest.BodyRest | None = None
+    is_relayed: bool = False
 
     async def aclose(self) -> None:
         """End the response, and its connection if the body has not ended."""
--- a/src/pomeloward/settings/edgesettings.py
+++ b/src/pomeloward/settings/edgesettings.py
@@ -38,8 +38,10 @@
 
     ``host`` is the ID of this host, which is also the address where its
     peers connect. The host serves callers' requests at ``callers``,
-    readiness checks at ``ready``, its peers at ``peers`` and address
-    lookups at ``directory``; ``store`` is the platform's store. ``zones``
+    readiness checks at ``ready``, its peers at ``peers``, requests that
+    peers relay at ``relay`` and address lookups at ``directory``; ``store``
+    is the platform's store. Without ``relay`` it takes and sends no relayed
+    requests. ``zones``
     are all zones of the fleet. ``seeds`` are the hosts through which this
     host joins the fleet. ``cores`` is the number of processor cores that
     the process may use, ``link_mbps`` the bandwidth of its network link in
@@ -63,6 +65,7 @@
     link_mbps: float
     descriptors: int
     bounds: OperatorBounds = OperatorBounds()
+    relay: Endpoint | None = None
 
     def changed_field_names(self, previous: "EdgeSettings") -> list[str]:
         """Return the names of the fields whose values differ."""
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -111,7 +111,14 @@
         self.store = stores.Store()
         self.servers = {}
         self.addresses = {}
-        kinds = ("front", "ready", "control", "directory", "metrics")
+        kinds = (
+            "front",
+            "ready",
+            "control",
+            "directory",
+            "metrics",
+            "relay",
+        )
         self.ports = {kind: serving.steady_port() for kind in kinds}
         self.nodes = {}
         self.scopes = {}
@@ -223,6 +230,7 @@
             f'node = "{name}"\nzone = "{zone}"\nregion = "r"\n'
             f"seeds = {seeds!r}\nbootstrap = {str(is_first).lower()}\n"
             'bounds = ["retry-budget-ratio=0.2", "budget-slack=64"]\n'
+            f"port-range = [{self.ports['relay']}, {self.ports['relay']}]\n"
             f"[zones]\n{zones}[listen]\n"
             + "".join(
                 f'{kind} = "{self.addresses[name]}:{self.ports[kind]}"\n'
--- a/tests/relay/test_forwarder.py
+++ b/tests/relay/test_forwarder.py
@@ -67,6 +67,7 @@
             self.target_client,
             retry.ServiceRetryBudgets(0.2, 60.0, True),
             quarantine.RequestQuarantine(lambda *_: None),
+            relay.PathMonitor(lambda *_: None, lambda: None),
         )
 
     async def forward(self):
