--- a/tests/platform/test_lateanswers.py
+++ b/tests/platform/test_lateanswers.py
@@ -107,3 +107,72 @@
             request_id = response.request.headers["x-request-id"]
             assert response.text.endswith(request_id)
             await anyio.sleep(0.1)
+
+
+def _refuse_then_repeat(extra_id, delay_s):
+    """Return a behavior that repeats a refusal on the same connection.
+
+    The first request of a connection is refused. For the second one the
+    same refusal comes once more, and after ``delay_s`` its own answer.
+    ``extra_id`` tells whether the refusals name the request.
+    """
+    counts, refusals = {}, {}
+
+    async def behave(server, stream, request, headers):
+        number = counts[id(stream)] = counts.get(id(stream), 0) + 1
+        if number == 1:
+            refusal = servers.head(request, 503, 0, ["X-Not-Executed: 1"])
+            if not extra_id:
+                refusal = refusal.replace(b"X-Request-Id", b"X-Other")
+            refusals[id(stream)] = refusal
+            await stream.send(
+                servers.head(request, 503, 0, ["X-Not-Executed: 1"])
+            )
+            return
+        server.ran.append(request)
+        if number == 2:
+            await stream.send(refusals[id(stream)])
+        await anyio.sleep(delay_s)
+        await stream.send(_answer_bytes(server, request))
+
+    return behave
+
+
+@pytest.mark.parametrize("extra_id", [True, False], ids=["id", "no id"])
+@pytest.mark.parametrize("delay_s", [0.0, 0.03])
+async def test_repeated_refusal_is_not_taken_for_a_running_order(
+    world, extra_id, delay_s
+):
+    """Callers were told that an order had not run while a target ran it."""
+    async with world.running(names=("s1", "s2")):
+        for server in world.servers.values():
+            server.behave = _refuse_then_repeat(extra_id, delay_s)
+        told_not_run = set()
+        for _ in range(12):
+            response = await world.request("POST", "/order/", content=b"x")
+            request_id = response.request.headers["x-request-id"]
+            if response.status_code in (408, 421, 429, 503):
+                told_not_run.add(request_id)
+            if response.status_code == 200:
+                assert response.text.endswith(request_id)
+        await anyio.sleep(0.1)
+        ran = world.ran()
+        assert len(ran) == len(set(ran))
+        assert not told_not_run & set(ran)
+
+
+async def test_connection_with_an_answer_of_another_request_is_not_used_again(
+    world,
+):
+    """Each later order on it got the answer of the one before."""
+    async with world.running(names=("s1",)):
+        server = world.servers["s1"]
+        server.behave = _refuse_then_repeat(True, 0.03)
+        statuses = []
+        for _ in range(12):
+            response = await world.request("POST", "/order/", content=b"x")
+            statuses.append(response.status_code)
+            if len(statuses) > 2 and response.status_code == 503:
+                await anyio.sleep(0.1)
+        assert statuses.count(502) <= statuses.count(503)
+        assert statuses[1:3] == [502, 503]
