Take no request that may outlast the grace of a stopping host

Cause: a stopping host took every request until 0.9 s before its exit, whatever its deadline. The new test shows an order of 5 s that is taken 3.4 s after the stop began and cut (RemoteProtocolError); before this change it failed so.

Change: from the time on at which an idle host would exit, requests whose deadline lies beyond the last exit are refused with 503 and a short Retry-After, and the others run to their end. Until then all are taken, since most end soon. The test of the refusal in test_admission.py called the method that is replaced; it asks for as much of the new one, and a second test gives the boundary.

--- a/bench/plants.py
+++ b/bench/plants.py
@@ -100,6 +100,13 @@
         "True",
         ("tests/platform/test_hosts.py", "tests/platform/test_pipelining.py"),
     ),
+    Plant(
+        "stopping-host-takes-long-requests",
+        _SOURCE + "relay/admission.py",
+        "if deadline_ms > self._exits_at_ms:",
+        "if now_ms > self._exits_at_ms:",
+        ("tests/relay", "tests/platform/test_hosts.py"),
+    ),
     Plant(
         "removed-target-returns",
         _SOURCE + "replica/replica.py",
--- a/src/pomeloward/edge/edgeserver.py
+++ b/src/pomeloward/edge/edgeserver.py
@@ -252,8 +252,10 @@
             )
             if self._shutdown is None:
                 continue
-            if self._shutdown.refuses_new_requests(now_ms):
-                components.refuse_new_requests()
+            if self._shutdown.refuses_long_requests(now_ms):
+                components.refuse_requests_beyond(
+                    self._shutdown.latest_exit_ms
+                )
             is_idle = components.open_requests.is_idle(
                 shutdownschedule.IDLE_BEFORE_EXIT_MS, now_ms
             )
--- a/src/pomeloward/edge/hostcomponents.py
+++ b/src/pomeloward/edge/hostcomponents.py
@@ -221,9 +221,9 @@
             idle_s=limits.idle_ms / 1_000, head_s=limits.head_ms / 1_000
         )
 
-    def refuse_new_requests(self) -> None:
-        """Refuse all requests that arrive from now on."""
-        self._admission_control.stop_admitting()
+    def refuse_requests_beyond(self, exits_at_ms: float) -> None:
+        """Refuse requests that may still run at that time."""
+        self._admission_control.refuse_beyond(exits_at_ms)
 
     def _apply_changes(self, changes: tuple[replica.Change, ...]) -> None:
         """Apply changes of the replica to admission and load balancing."""
--- a/src/pomeloward/edge/shutdownschedule.py
+++ b/src/pomeloward/edge/shutdownschedule.py
@@ -8,26 +8,31 @@
 IDLE_BEFORE_EXIT_MS = 400.0
 # Time that is left for the process to exit by itself before it is killed.
 _EXIT_RESERVE_MS = 350.0
-# New requests are refused when they would have less time than this.
-_MIN_REQUEST_TIME_MS = 900.0
 
 
 class ShutdownSchedule:
-    """The deadlines of one graceful shutdown."""
+    """The deadlines of one graceful shutdown.
+
+    By ``latest_exit_ms`` the host exits, whatever is still open.
+    """
 
     def __init__(self, started_ms: float, kill_after_ms: float) -> None:
         self._earliest_exit_ms = started_ms + MIN_DRAIN_MS
-        self._latest_exit_ms = started_ms + kill_after_ms - _EXIT_RESERVE_MS
+        self.latest_exit_ms = started_ms + kill_after_ms - _EXIT_RESERVE_MS
 
     def should_exit(self, is_idle: bool, now_ms: float) -> bool:
         """Tell whether the host should exit now.
 
         ``is_idle`` tells that it had no open requests for a while.
         """
-        return now_ms >= self._latest_exit_ms or (
+        return now_ms >= self.latest_exit_ms or (
             now_ms >= self._earliest_exit_ms and is_idle
         )
 
-    def refuses_new_requests(self, now_ms: float) -> bool:
-        """Tell whether too little time is left for new requests."""
-        return now_ms >= self._latest_exit_ms - _MIN_REQUEST_TIME_MS
+    def refuses_long_requests(self, now_ms: float) -> bool:
+        """Tell whether to refuse requests that may not end before the exit.
+
+        At first they are taken: most end soon, and callers still come by
+        addresses from before.
+        """
+        return now_ms >= self._earliest_exit_ms
--- a/src/pomeloward/relay/admission.py
+++ b/src/pomeloward/relay/admission.py
@@ -1,6 +1,7 @@
 """Admission control: checks route, key and rate limit of requests."""
 
 import dataclasses
+import math
 
 import expression
 
@@ -14,6 +15,8 @@
 _STARTING_RETRY_AFTER_MS = 500.0
 # The caller's next connection reaches another host at once.
 _STOPPING_RETRY_AFTER_MS = 50.0
+# Longest time until the response on a route without a timeout.
+_DEFAULT_TIMEOUT_MS = 30_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -21,13 +24,15 @@
     """The decision to forward a request, and what it is based on.
 
     ``service_id`` is the one that was selected by the weights of the route.
-    ``team`` is the owner of the caller's key, None if none is needed.
+    ``team`` is the owner of the caller's key, None if none is needed. The
+    response is due by ``deadline_ms``.
     """
 
     route: policies.Route
     service_id: model.ServiceId
     team: policies.Team | None
     configuration_version: model.Version
+    deadline_ms: float
 
 
 class AdmissionControl:
@@ -41,11 +46,11 @@
         self._rate_limiter = rate_limiter
         self._service_selector = balance.WeightedRoundRobin()
         self.policy_index: policies.PolicyIndex | None = None
-        self._has_stopped = False
+        self._exits_at_ms = math.inf
 
-    def stop_admitting(self) -> None:
-        """Refuse all requests from now on, since the host stops."""
-        self._has_stopped = True
+    def refuse_beyond(self, exits_at_ms: float) -> None:
+        """Refuse requests that may still run when the host exits."""
+        self._exits_at_ms = exits_at_ms
 
     def refund_request(
         self, team: policies.Team | None, now_ms: float
@@ -61,12 +66,6 @@
 
         An admitted request counts for the rate of its team.
         """
-        if self._has_stopped:
-            return _refuse(
-                model.ErrorKind.HOST_DRAINING,
-                "this host is shutting down",
-                _STOPPING_RETRY_AFTER_MS,
-            )
         index = self.policy_index
         if index is None:
             return _refuse(
@@ -79,6 +78,13 @@
             return _refuse(
                 model.ErrorKind.ROUTE_UNKNOWN, "no route for host and path"
             )
+        deadline_ms = now_ms + _timeout_ms(route, head)
+        if deadline_ms > self._exits_at_ms:
+            return _refuse(
+                model.ErrorKind.HOST_DRAINING,
+                "this host is shutting down",
+                _STOPPING_RETRY_AFTER_MS,
+            )
         team = None
         if index.has_teams and not route.is_public:
             if head.key_digest is None:
@@ -100,10 +106,19 @@
                 self._service_selector.select_service(route),
                 team,
                 index.policy.version,
+                deadline_ms,
             )
         )
 
 
+def _timeout_ms(route: policies.Route, head: requesthead.RequestHead) -> float:
+    """Return the shorter timeout of route and caller."""
+    timeout_ms = route.timeout_ms or _DEFAULT_TIMEOUT_MS
+    if head.timeout_ms is not None:
+        timeout_ms = min(timeout_ms, head.timeout_ms)
+    return timeout_ms
+
+
 def _refuse(
     kind: model.ErrorKind, detail: str, retry_after_ms: float = 0.0
 ) -> expression.Result[Admission, model.Refusal]:
--- a/src/pomeloward/relay/application.py
+++ b/src/pomeloward/relay/application.py
@@ -35,8 +35,6 @@
 # How long the body of a refused request is read and discarded.
 _DISCARD_TIMEOUT_S = 0.5
 _DEFAULT_LIMITS = policies.CallerLimits()
-# Longest time until the response on a route without a timeout.
-_DEFAULT_TIMEOUT_MS = 30_000.0
 
 
 class Application:
@@ -296,14 +294,8 @@
     body: entry.RequestBody,
     log_entry: requestlogentry.RequestLogEntry,
 ) -> admittedrequest.AdmittedRequest:
-    """Return the request to forward, and add the admission to the log entry.
-
-    The deadline follows from the shorter timeout of route and caller.
-    """
+    """Return the request to forward, and add the admission to the log."""
     route = admission.route
-    timeout_ms = route.timeout_ms or _DEFAULT_TIMEOUT_MS
-    if head.timeout_ms is not None:
-        timeout_ms = min(timeout_ms, head.timeout_ms)
     headers = head.headers
     if head.is_chunked:
         headers = [*headers, (b"transfer-encoding", b"chunked")]
@@ -321,7 +313,7 @@
         headers=headers,
         body=body if head.has_body else entry.NoBody(),
         arrived_at_ms=log_entry.started_at_ms,
-        deadline_ms=log_entry.started_at_ms + timeout_ms,
+        deadline_ms=admission.deadline_ms,
         key_digest=head.key_digest,
     )
 
--- a/tests/platform/test_hosts.py
+++ b/tests/platform/test_hosts.py
@@ -86,3 +86,50 @@
             while True:
                 await anyio.sleep(0.2)
                 await world.get("/safe/")
+
+
+async def test_stop_takes_no_request_that_may_outlast_the_grace(world):
+    """Orders that came late in the grace were cut without an answer."""
+
+    async def answer_after_the_grace(server, stream, request_id, headers):
+        server.ran.append(request_id)
+        await anyio.sleep(5.0)
+        await servers.answer(server, stream, request_id, headers)
+
+    slow_route = ["slow", fleet.HOST, "/slow/", "non_idempotent", 5.0, 0.3]
+    routes = fleet.configuration()["routes"]
+    row = [*slow_route, 1, None, 2, False, "orders"]
+    async with world.running(names=("s1",)):
+        changed = {**routes, "rows": [*routes["rows"], row]}
+        world.store.put(
+            "op/config", fleet.configuration(version=2, routes=changed)
+        )
+        await anyio.sleep(1.0)
+        world.nodes["n1"].start_shutdown()
+        statuses, cut = [], []
+
+        async def keep_open():
+            for _ in range(60):
+                await world.get("/safe/")
+                await anyio.sleep(0.05)
+
+        async def order_late():
+            try:
+                response = await world.request(
+                    "POST", "/slow/", headers=[("X-Timeout-Ms", "5000")]
+                )
+                statuses.append(response.status_code)
+            except httpx.HTTPError as error:
+                cut.append(type(error).__name__)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(keep_open)
+            world.servers["s1"].behave = servers.answer
+            await anyio.sleep(3.4)
+            world.servers["s1"].behave = answer_after_the_grace
+            tasks.start_soon(order_late)
+            await anyio.sleep(0.2)
+            world.servers["s1"].behave = servers.answer
+        assert not cut
+        assert statuses == [503]
+        assert not [one for one in world.ran() if one in cut]
--- a/tests/relay/test_admission.py
+++ b/tests/relay/test_admission.py
@@ -41,12 +41,20 @@
 
 def test_stopping_host_refuses_as_draining():
     admission_control = _make_admission_control()
-    admission_control.stop_admitting()
+    admission_control.refuse_beyond(0.0)
     refused = admission_control.admit(_make_request_head(), 0.0).error
     assert refused.kind is model.ErrorKind.HOST_DRAINING
     assert refused.retry_after_ms > 0
 
 
+def test_stopping_host_takes_only_requests_that_end_before_its_exit():
+    admission_control = _make_admission_control()
+    admission_control.refuse_beyond(1_500.0)
+    assert admission_control.admit(_make_request_head(), 500.0).is_ok()
+    refused = admission_control.admit(_make_request_head(), 500.1).error
+    assert refused.kind is model.ErrorKind.HOST_DRAINING
+
+
 def test_admission_has_team_and_version_of_the_configuration():
     admitted = _make_admission_control().admit(_make_request_head(), 0.0).ok
     assert (admitted.team.id, admitted.configuration_version) == ("t", 3)
