Relay requests whose targets can't be reached before a check has ended

Cause: a request was relayed only after the path counted as lost, which took 0.85 s; peers that had not noticed their own loss yet answered 503 in turn; and hosts that had served one request just before the cut never checked, so that callers were sent to one cut-off host after the other until 21.7 s.

Change: a request that could be sent to none of two targets is relayed at once, and a peer that can't reach any says so, which makes the first host try another. One unreachable target is enough for a check while no other answers, and a check that another host's loss calls for is put off by answers instead of dropped.

--- a/src/pomeloward/relay/forwarder.py
+++ b/src/pomeloward/relay/forwarder.py
@@ -22,6 +22,9 @@
 # An unreachable target received nothing, so that an attempt at the next one
 # adds no load; this only ends the search when all targets are down.
 _MAX_UNREACHABLE_ATTEMPTS = 4
+# A request that could not be sent to so many targets is relayed to a host
+# that may reach them.
+_UNREACHABLE_FOR_RELAY = 2
 
 _UNREACHABLE = balance.Outcome.UNREACHABLE
 _ResultSender = memory.MemoryObjectSendStream[attemptresult.AttemptResult]
@@ -377,6 +380,17 @@
         may have run, and a refusal otherwise.
         """
         not_run_proof = state.run_evidence.proof
+        if (
+            not_run_proof is not None
+            and state.unreachable_count >= _UNREACHABLE_FOR_RELAY
+        ):
+            return expression.Error(
+                model.Refusal(
+                    model.ErrorKind.NO_TARGET_PATH,
+                    f"not run: {result.detail}",
+                    retry_after_ms=balance.SHED_PAUSE_MS,
+                )
+            )
         if not_run_proof is not None:
             return expression.Error(
                 model.Refusal(
--- a/src/pomeloward/relay/pathmonitor.py
+++ b/src/pomeloward/relay/pathmonitor.py
@@ -5,16 +5,19 @@
 from pomeloward import balance
 from pomeloward import model
 
-# So many targets that can't be reached within this time call for a check.
+# So many targets that can't be reached within this time call for a check, or
+# one of them while no other answers.
 _FAILED_TARGET_LIMIT = 2
 _FAILURE_WINDOW_MS = 1_000.0
+_NO_ANSWER_MS = 300.0
 # Interval between checks while a path is known, and while it is lost.
 _CHECK_INTERVAL_MS = 2_000.0
 _LOST_CHECK_INTERVAL_MS = 500.0
 # Good checks in a row that end the loss.
 _REQUIRED_GOOD_CHECKS = 2
-# A host that had an answer this recently knows its path.
-_ANSWER_LIFETIME_MS = 1_000.0
+# How long a check that another host's loss calls for may be put off by
+# answers.
+_REQUEST_LIFETIME_MS = 2_000.0
 
 OnChange = collections.abc.Callable[[bool], None]
 _NO_ANSWER_OUTCOMES = frozenset(
@@ -47,7 +50,7 @@
         self._failed_at_ms: dict[model.TargetId, float] = {}
         self._answered_at_ms = float("-inf")
         self._checked_at_ms = float("-inf")
-        self._is_check_requested = False
+        self._requested_until_ms = float("-inf")
         self._good_checks = 0
 
     def record_outcome(
@@ -66,18 +69,18 @@
     def request_check(self, now_ms: float) -> None:
         """Ask for a check, since another host has lost its path.
 
-        A host with requests knows its path; others have to find out before
-        callers are sent to them.
+        A host that gets answers knows its path; others have to find out
+        before callers are sent to them.
         """
-        if now_ms - self._answered_at_ms >= _ANSWER_LIFETIME_MS:
-            self._is_check_requested = True
-            self._on_check_suggested()
+        self._requested_until_ms = now_ms + _REQUEST_LIFETIME_MS
+        self._on_check_suggested()
 
-    @property
-    def is_watching(self) -> bool:
-        """Whether a check may become due without any further event."""
+    def is_watching(self, now_ms: float) -> bool:
+        """Return whether a check may become due without a further event."""
         return bool(
-            self.is_lost or self._failed_at_ms or self._is_check_requested
+            self.is_lost
+            or self._failed_at_ms
+            or now_ms < self._requested_until_ms
         )
 
     def is_check_due(self, now_ms: float) -> bool:
@@ -90,17 +93,19 @@
             for target_id, at_ms in self._failed_at_ms.items()
             if now_ms - at_ms <= _FAILURE_WINDOW_MS
         }
+        has_no_answers = now_ms - self._answered_at_ms >= _NO_ANSWER_MS
+        is_requested = now_ms < self._requested_until_ms
         is_suspected = (
             self.is_lost
-            or self._is_check_requested
             or len(self._failed_at_ms) >= _FAILED_TARGET_LIMIT
+            or (has_no_answers and (is_requested or bool(self._failed_at_ms)))
         )
         return is_suspected and now_ms - self._checked_at_ms >= interval_ms
 
     def record_check(self, has_connected: bool, now_ms: float) -> None:
         """Record whether any target accepted a connection."""
         self._checked_at_ms = now_ms
-        self._is_check_requested = False
+        self._requested_until_ms = float("-inf")
         self._failed_at_ms.clear()
         self._good_checks = self._good_checks + 1 if has_connected else 0
         is_lost = not has_connected or (
--- a/src/pomeloward/relay/pathwatcher.py
+++ b/src/pomeloward/relay/pathwatcher.py
@@ -16,7 +16,7 @@
 _MAX_TRIED_TARGETS = 6
 # So many are tried at once, and as many more after this time.
 _TRIED_TOGETHER = 2
-_STAGGER_S = 0.1
+_STAGGER_S = 0.05
 
 
 class PathWatcher:
@@ -47,7 +47,7 @@
     async def run(self) -> None:
         """Check when it is due, until cancelled."""
         while True:
-            if not self._monitor.is_watching:
+            if not self._monitor.is_watching(model.now_ms()):
                 await self._woken.wait()
             self._woken = anyio.Event()
             if self._monitor.is_check_due(model.now_ms()):
--- a/src/pomeloward/relay/relayingforwarder.py
+++ b/src/pomeloward/relay/relayingforwarder.py
@@ -45,7 +45,7 @@
                 return relayed
             return await self._direct.forward(request, log_entry)
         forwarded = await self._direct.forward(request, log_entry)
-        if _has_not_run(forwarded) and self._path_monitor.is_lost:
+        if _may_relay(forwarded, self._path_monitor.is_lost):
             relayed = await self._peer_relay.try_forward(request, log_entry)
             return relayed if relayed is not None else forwarded
         return forwarded
@@ -77,7 +77,7 @@
         if refusal is not None:
             return expression.Error(refusal)
         forwarded = await self._direct.forward(request, log_entry)
-        if _has_not_run(forwarded):
+        if _may_relay(forwarded, self._path_monitor.is_lost):
             refusal = self._refuse_without_path()
         return forwarded if refusal is None else expression.Error(refusal)
 
@@ -91,9 +91,15 @@
         )
 
 
-def _has_not_run(forwarded: forwarding.ForwardResult) -> bool:
-    """Return whether a request was refused and certainly did not run."""
-    return (
-        forwarded.is_error()
-        and forwarded.error.run_state is model.RunState.NOT_RUN
+def _may_relay(forwarded: forwarding.ForwardResult, is_lost: bool) -> bool:
+    """Return whether a peer may serve a request that was refused here.
+
+    That takes certainty that it has not run, and a reason in this host's
+    path to the targets.
+    """
+    if not forwarded.is_error():
+        return False
+    refusal = forwarded.error
+    return refusal.kind is model.ErrorKind.NO_TARGET_PATH or (
+        is_lost and refusal.run_state is model.RunState.NOT_RUN
     )
