Keep to what targets announce: leaving, and pauses

Cause: of what targets say of themselves, hosts read the rate limit and the idle time only, each in a place of its own.

Change: one reader decodes all notices in an answer, and the balancer keeps to them for as long as the same start of the target lasts, whatever the registry says meanwhile. Targets that leave or pause count neither as slots nor for retries, backups or trials. If all targets of a service pause, requests that would miss their objective are refused at once with the time that is left. Values that are no number of seconds are logged and ignored, and no pause is longer than ten minutes. The limit's line for unreadable values stays.

--- a/bench/plants.py
+++ b/bench/plants.py
@@ -170,6 +170,20 @@
         "if False:",
         ("tests/platform/test_deadlyrequests.py",),
     ),
+    Plant(
+        "leaving-target-used",
+        _SOURCE + "balance/targetnotices.py",
+        "return known is not None and known.is_leaving",
+        "return False",
+        ("tests/platform/test_targetnotices.py",),
+    ),
+    Plant(
+        "pause-ignored",
+        _SOURCE + "balance/targetnotices.py",
+        "return max(0.0, known.paused_until_ms - now_ms)",
+        "return 0.0",
+        ("tests/platform/test_targetnotices.py",),
+    ),
     Plant(
         "host-without-path-named-to-callers",
         _SOURCE + "fleet/membership.py",
--- a/src/pomeloward/balance/__init__.py
+++ b/src/pomeloward/balance/__init__.py
@@ -16,6 +16,7 @@
     LIMIT_REPORT_INTERVAL_MS as LIMIT_REPORT_INTERVAL_MS,
 )
 from pomeloward.balance.targetlimits import TargetLimits as TargetLimits
+from pomeloward.balance.targetnotices import TargetNotice as TargetNotice
 from pomeloward.balance.weightedroundrobin import (
     WeightedRoundRobin as WeightedRoundRobin,
 )
--- a/src/pomeloward/balance/balancer.py
+++ b/src/pomeloward/balance/balancer.py
@@ -14,6 +14,7 @@
 from pomeloward.balance import selection
 from pomeloward.balance import targethealth
 from pomeloward.balance import targetlimits
+from pomeloward.balance import targetnotices
 from pomeloward.balance import targetstate
 
 # Slots of a target in another zone that are left to the hosts of that zone.
@@ -75,6 +76,7 @@
             model.RouteId, latency.LatencyEstimator
         ] = {}
         self._mean_run_ms: dict[model.ServiceId, float] = {}
+        self._notices = targetnotices.TargetNotices()
         self._is_active = True
         self._zone_host_count = 1
         # Zones without hosts, whose cold targets get requests from this host.
@@ -152,12 +154,12 @@
         the slots that it uses at healthy targets of other zones, whose own
         hosts may need the rest. A target that limits its rate has as many as
         that rate keeps in use. If all targets are unhealthy the number is
-        1, without targets it is 0.
+        1, without targets that want requests it is 0.
         """
         eligible = [
             state
-            for state in self._target_states.get(service_id, {}).values()
-            if state.is_eligible
+            for state in self._eligible(service_id)
+            if not self._notices.pause_ms(state.target, now_ms)
         ]
         slots = 0.0
         for state in eligible:
@@ -178,12 +180,58 @@
     ) -> bool:
         """Tell whether any other target may get requests, now or later."""
         return any(
-            state.is_eligible and target_id not in excluded_ids
-            for target_id, state in self._target_states.get(
-                service_id, {}
-            ).items()
+            state.target.id not in excluded_ids
+            for state in self._eligible(service_id)
         )
 
+    def pause_ms(
+        self,
+        service_id: model.ServiceId,
+        excluded_ids: collections.abc.Container[model.TargetId],
+        now_ms: float,
+    ) -> float:
+        """Return how long no other target wants any request.
+
+        That is 0 while one doesn't pause, and without any target.
+        """
+        return min(
+            (
+                self._notices.pause_ms(state.target, now_ms)
+                for state in self._eligible(service_id)
+                if state.target.id not in excluded_ids
+            ),
+            default=0.0,
+        )
+
+    def record_notice(
+        self,
+        attempt: attempts.Attempt,
+        notice: targetnotices.TargetNotice,
+        now_ms: float,
+    ) -> bool:
+        """Keep to what a target announced; return whether it is new.
+
+        The result doesn't tell of rate limits, which are reported apart.
+        """
+        if notice.tells_rate_limit:
+            self._target_limits.record_answer(
+                attempt.target_id, notice.rate_limit_per_s, now_ms
+            )
+        target = self.find_target(attempt.service_id, attempt.target_id)
+        if target is None:
+            return False
+        return self._notices.record(target, notice, now_ms)
+
+    def _eligible(
+        self, service_id: model.ServiceId
+    ) -> list[targetstate.TargetState]:
+        """Return the targets of a service that may get requests at all."""
+        return [
+            state
+            for state in self._target_states.get(service_id, {}).values()
+            if state.is_eligible and not self._notices.is_leaving(state.target)
+        ]
+
     def has_spare_capacity(self, service_id: model.ServiceId) -> bool:
         """Tell whether this zone's targets have room for backup attempts.
 
@@ -192,9 +240,8 @@
         """
         local = [
             state
-            for state in self._target_states.get(service_id, {}).values()
-            if state.is_eligible
-            and state.target.zone == self._zone
+            for state in self._eligible(service_id)
+            if state.target.zone == self._zone
             and self._target_limits.share_per_s(state.target.id) is None
         ]
         slots = sum(state.target.slots for state in local)
@@ -255,8 +302,9 @@
         """
         eligible = [
             state
-            for state in self._target_states.get(service_id, {}).values()
-            if state.is_eligible and state.target.id not in excluded_ids
+            for state in self._eligible(service_id)
+            if state.target.id not in excluded_ids
+            and not self._notices.pause_ms(state.target, now_ms)
         ]
         available = [
             state for state in eligible if self._has_room(state, now_ms)
--- a/src/pomeloward/edge/hostcomponents.py
+++ b/src/pomeloward/edge/hostcomponents.py
@@ -137,9 +137,7 @@
             self.target_links,
             http_conventions,
             self._max_connections_per_target,
-            lambda target_id, limit_per_s: target_limits.record_answer(
-                target_id, limit_per_s, model.now_ms()
-            ),
+            self._handle_target_notice,
             target_probe,
         )
         forwarder = relay.Forwarder(
@@ -272,6 +270,13 @@
                 now_ms - heartbeat.fresh_age_ms
             )
 
+    def _handle_target_notice(
+        self, attempt: balance.Attempt, notice: balance.TargetNotice
+    ) -> None:
+        """Apply what a target announced in an answer, and log it if new."""
+        if self._balancer.record_notice(attempt, notice, model.now_ms()):
+            logevents.log_target_notice(attempt.target_id, notice)
+
     def _handle_changed_membership(self) -> None:
         """Adapt to hosts that came, went, or lost their path to targets."""
         self.fleet_sync.wake()
--- a/src/pomeloward/edge/logevents.py
+++ b/src/pomeloward/edge/logevents.py
@@ -2,6 +2,7 @@
 
 import eliot
 
+from pomeloward import balance
 from pomeloward import model
 from pomeloward import replica
 
@@ -39,6 +40,18 @@
     )
 
 
+def log_target_notice(
+    target_id: model.TargetId, notice: balance.TargetNotice
+) -> None:
+    """Log that a target is leaving, or wants no requests for a while."""
+    eliot.log_message(
+        message_type="target:notice",
+        target=target_id,
+        is_leaving=notice.is_leaving,
+        pause_ms=round(notice.pause_ms),
+    )
+
+
 def log_target_path(is_lost: bool) -> None:
     """Log that this host can connect to no target, or to some again."""
     eliot.log_message(message_type="path:lost" if is_lost else "path:regained")
--- a/src/pomeloward/platform/httpconventions.py
+++ b/src/pomeloward/platform/httpconventions.py
@@ -10,6 +10,7 @@
     signature_header=b"x-upstream-signature",
     not_run_header=b"x-not-executed",
     rate_limit_header=b"server-limit",
+    leaving_header=b"server-leaving",
     authorization_prefix=b"token ",
     # 421 says that another target has taken over the address.
     target_not_run_statuses=frozenset({421}),
--- a/src/pomeloward/relay/httpconventions.py
+++ b/src/pomeloward/relay/httpconventions.py
@@ -20,7 +20,8 @@
     ``signature_header``. A response with ``not_run_header``, or with one of
     ``target_not_run_statuses``, says that the target did not run the
     request. In ``rate_limit_header`` a target names the requests per second
-    that it takes from all hosts together.
+    that it takes from all hosts together, and with ``leaving_header`` it says
+    that it ends soon.
 
     A response with one of ``caller_not_run_statuses`` promises the caller
     that its request did not run. With ``has_key_digests`` requests come from
@@ -34,6 +35,7 @@
     signature_header: bytes
     not_run_header: bytes
     rate_limit_header: bytes
+    leaving_header: bytes
     authorization_prefix: bytes
     target_not_run_statuses: frozenset[int]
     caller_not_run_statuses: frozenset[int]
--- a/src/pomeloward/relay/slotallocator.py
+++ b/src/pomeloward/relay/slotallocator.py
@@ -91,7 +91,15 @@
                 request.route
             ).mean_ms,
         )
-        slot_count = self._balancer.usable_slots(request.service_id, now_ms)
+        pause_ms = self._balancer.pause_ms(
+            request.service_id, avoided_target_ids, now_ms
+        )
+        if _outlasts_objective(pause_ms, queued, now_ms):
+            return _refuse_paused(pause_ms)
+        slot_count = max(
+            self._balancer.usable_slots(request.service_id, now_ms),
+            int(pause_ms > 0),
+        )
         can_start = self._balancer.has_target_besides(
             request.service_id, avoided_target_ids
         )
@@ -145,10 +153,15 @@
         Their callers can still go elsewhere.
         """
         now_ms = model.now_ms()
+        queue = self._queue_for(service_id)
+        pause_ms = self._balancer.pause_ms(service_id, (), now_ms)
+        if pause_ms:
+            for queued in queue.requests_in_order(now_ms):
+                if _outlasts_objective(pause_ms, queued, now_ms):
+                    self._waiters[queued].decided.set()
+            return
         slot_count = self._balancer.usable_slots(service_id, now_ms)
-        for queued in self._queue_for(service_id).requests_to_refuse(
-            slot_count, now_ms
-        ):
+        for queued in queue.requests_to_refuse(slot_count, now_ms):
             self._waiters[queued].decided.set()
 
     async def _wait_for_slot(
@@ -177,6 +190,11 @@
         if waiter.attempt is not None:
             return expression.Ok(waiter.attempt)
         now_ms = model.now_ms()
+        pause_ms = self._balancer.pause_ms(
+            waiter.request.service_id, waiter.avoided_target_ids, now_ms
+        )
+        if _outlasts_objective(pause_ms, queued, now_ms):
+            return _refuse_paused(pause_ms)
         slot_count = self._balancer.usable_slots(
             waiter.request.service_id, now_ms
         )
@@ -227,3 +245,24 @@
                 ),
             )
         )
+
+
+def _outlasts_objective(
+    pause_ms: float, queued: requestqueue.QueuedRequest, now_ms: float
+) -> bool:
+    """Return whether a request would miss its objective after a pause."""
+    return (
+        pause_ms > 0
+        and now_ms + pause_ms + queued.expected_run_ms > queued.objective_at_ms
+    )
+
+
+def _refuse_paused(pause_ms: float) -> AcquireResult:
+    """Return the refusal of a request whose targets all pause."""
+    return expression.Error(
+        model.Refusal(
+            model.ErrorKind.NO_CAPACITY,
+            "all targets want no requests for now",
+            retry_after_ms=pause_ms,
+        )
+    )
--- a/src/pomeloward/relay/targetclient.py
+++ b/src/pomeloward/relay/targetclient.py
@@ -1,9 +1,7 @@
 """HTTP client that sends a request to a target and checks the response."""
 
 import collections.abc
-import math
 
-import eliot
 import httpx
 
 from pomeloward import balance
@@ -15,6 +13,7 @@
 from pomeloward.relay import admittedrequest
 from pomeloward.relay import attemptresult
 from pomeloward.relay import httpconventions
+from pomeloward.relay import noticereader
 from pomeloward.relay import requestbodystream
 from pomeloward.relay import responsereader
 from pomeloward.relay import sendobserver
@@ -24,26 +23,24 @@
 # time is down, cut off or overloaded, and the request can still be sent to
 # another target.
 CONNECT_TIMEOUT_MS = 250.0
-# "Misdirected Request": another server has taken over the target's address.
-_MISDIRECTED_STATUS = 421
-_MAX_LOGGED_BYTES = 40
 # Part of its announced idle time after which a connection isn't used again:
 # the target closes it while a request may be on its way.
 _IDLE_TIME_RATIO = 0.8
 
 Headers = dispatch.Headers
-# Called with each answer that tells whether its target limits its rate; the
-# limit is None if the target names none.
-OnRateLimit = collections.abc.Callable[[model.TargetId, float | None], None]
+# Called with what each answer says of the target of its attempt.
+OnNotice = collections.abc.Callable[
+    [balance.Attempt, balance.TargetNotice], None
+]
 
 
 class TargetClient:
     """Sends attempts over this host's persistent connections to targets.
 
     ``max_connections_for`` returns how many connections this host may open
-    to a target of a service. ``on_rate_limit`` is called with the limit in
-    requests per second that a target names in an answer. ``target_probe``
-    tells whether a target that closed a connection has crashed.
+    to a target of a service. ``on_notice`` is called with what a target
+    announces in each answer. ``target_probe`` tells whether a target that
+    closed a connection has crashed.
     """
 
     def __init__(
@@ -51,13 +48,14 @@
         target_links: dispatch.Links,
         conventions: httpconventions.HttpConventions,
         max_connections_for: collections.abc.Callable[[model.ServiceId], int],
-        on_rate_limit: OnRateLimit,
+        on_notice: OnNotice,
         target_probe: targetprobes.TargetProbe,
     ) -> None:
         self._links = target_links
         self._conventions = conventions
         self._max_connections_for = max_connections_for
-        self._on_rate_limit = on_rate_limit
+        self._on_notice = on_notice
+        self._notice_reader = noticereader.NoticeReader(conventions)
         self._target_probe = target_probe
 
     async def send(
@@ -79,9 +77,8 @@
             response = await link.transport.handle_async_request(
                 self._make_request(request, target, link, send_observer)
             )
-            self._limit_idle_time(target, response)
             return await self._check_response(
-                request, attempt, response, run_evidence
+                request, attempt, target, response, run_evidence
             )
         except httpx.HTTPError as error:
             result = _transport_failure(
@@ -104,10 +101,9 @@
         )
 
     def _limit_idle_time(
-        self, target: replica.Target, response: httpx.Response
+        self, target: replica.Target, announced_ms: float | None
     ) -> None:
         """Replace the pool of a target that announces a shorter idle time."""
-        announced_ms = dispatch.announced_idle_ms(response.headers)
         link = self._links.find(target)
         if announced_ms is None or link is None:
             return
@@ -162,6 +158,7 @@
         self,
         request: admittedrequest.AdmittedRequest,
         attempt: balance.Attempt,
+        target: replica.Target,
         response: httpx.Response,
         run_evidence: dispatch.RunEvidence,
     ) -> attemptresult.AttemptResult:
@@ -183,7 +180,9 @@
             conventions.not_run_header in headers
             or status in conventions.target_not_run_statuses
         )
-        self._report_rate_limit(attempt, headers, status)
+        notice = self._notice_reader.read(target.id, response, headers)
+        self._limit_idle_time(target, notice.idle_ms)
+        self._on_notice(attempt, notice)
         if is_not_run:
             return await self._record_not_run(attempt, response, run_evidence)
         has_success_status = 200 <= status < 300
@@ -212,35 +211,6 @@
             response=target_response,
         )
 
-    def _report_rate_limit(
-        self,
-        attempt: balance.Attempt,
-        headers: dict[bytes, bytes],
-        status: int,
-    ) -> None:
-        """Report the rate limit that an answer names, or that it names none.
-
-        A signed answer without a limit ends one that was named before. Other
-        answers without it may come from something else than the target.
-        """
-        conventions = self._conventions
-        if status == _MISDIRECTED_STATUS:
-            return
-        text = headers.get(conventions.rate_limit_header)
-        if text is None:
-            if conventions.signature_header in headers:
-                self._on_rate_limit(attempt.target_id, None)
-            return
-        limit_per_s = _parse_rate(text)
-        if limit_per_s is None:
-            eliot.log_message(
-                message_type="target:limit_unreadable",
-                target=attempt.target_id,
-                text=text[:_MAX_LOGGED_BYTES].decode("latin-1"),
-            )
-            return
-        self._on_rate_limit(attempt.target_id, limit_per_s)
-
     @staticmethod
     async def _record_not_run(
         attempt: balance.Attempt,
@@ -256,7 +226,7 @@
         await responsereader.discard_body(response)
         outcome = (
             balance.Outcome.MISPLACED
-            if status == _MISDIRECTED_STATUS
+            if status == noticereader.MISDIRECTED_STATUS
             else balance.Outcome.SHED
         )
         return attemptresult.AttemptResult(
@@ -267,15 +237,6 @@
         )
 
 
-def _parse_rate(text: bytes) -> float | None:
-    """Return a rate per second, None if the text is not a decimal number."""
-    try:
-        rate_per_s = float(text)
-    except ValueError:
-        return None
-    return rate_per_s if 0.0 <= rate_per_s < math.inf else None
-
-
 def _transport_failure(
     attempt: balance.Attempt, error: httpx.HTTPError, is_sent: bool
 ) -> attemptresult.AttemptResult:
--- a/tests/platform/server.py
+++ b/tests/platform/server.py
@@ -133,6 +133,26 @@
     return behave
 
 
+async def leaving(server, stream, request, headers):
+    """Answer well, and announce that the server ends soon."""
+    server.ran.append(request)
+    body = f"{server.name} ran {request}".encode()
+    extra = ["Server-Leaving: 1"]
+    await stream.send(head(request, 200, len(body), extra) + body)
+
+
+def pausing(retry_after, is_marked=True):
+    """Return a behavior that refuses, and names when to come back."""
+
+    async def behave(server, stream, request, headers):
+        extra = [f"Retry-After: {retry_after}"]
+        if is_marked:
+            extra.append("X-Not-Executed: 1")
+        await stream.send(head(request, 503, 0, extra))
+
+    return behave
+
+
 async def hang(server, stream, request, headers):
     """Run the request and never answer."""
     server.ran.append(request)
