Doubt refusals that a target repeats (pomeloward-host)

Cause in pomeloward-host: 503 with `Run-State: not_run` was a proof for whatever request was open on the connection. A refusal that is sent a second time proved that the next order had not run.

Change: the refusal has to name the request by `Pomeloward-Request-Id`, and counts once for each request and target, since a repeat for the same request can't be told from a new refusal. A refusal that doesn't count is not passed on either: its caller gets 502 and `Pomeloward-Run: unknown`. The project's targets name the request in refusals.

Ruled out: passing the doubtful 503 on without the header, which callers take for "not run" by its status.

--- a/bench/matrix/target.py
+++ b/bench/matrix/target.py
@@ -84,7 +84,11 @@
     async def serve(self, sent: exchange.Sent) -> None:
         """Run one request and answer it."""
         if self.running >= self.warmth.slots * _QUEUE_PER_SLOT:
-            shed = [(b"run-state", b"not_run"), (b"content-length", b"4")]
+            shed = [
+                (b"run-state", b"not_run"),
+                (b"pomeloward-request-id", sent.request_id.encode()),
+                (b"content-length", b"4"),
+            ]
             sent.answer(503, shed)
             sent.end(b"shed")
             return
--- a/src/pomeloward/dispatch/failure.py
+++ b/src/pomeloward/dispatch/failure.py
@@ -10,6 +10,7 @@
 # The header and value by which a target says that it did not start a
 # request; part of the targets' published contract.
 RUN_STATE_HEADER = "run-state"
+REQUEST_ID_HEADER = "pomeloward-request-id"
 RUN_STATE_NOT_RUN = "not_run"
 
 
--- a/src/pomeloward/dispatch/request.py
+++ b/src/pomeloward/dispatch/request.py
@@ -38,7 +38,8 @@
     ``headers`` are free of callers' keys and of connection headers.
     ``deadline_ms`` is the time by which the answer's headers must have
     come. ``weight`` is the team's in the queue. ``may_send`` is asked
-    immediately before the first byte.
+    immediately before the first byte. ``refused_by`` are the targets that
+    have proved once that they did not run it.
     """
 
     id: model.RequestId
@@ -55,3 +56,4 @@
     evidence: evidences.RunEvidence = dataclasses.field(
         default_factory=evidences.RunEvidence
     )
+    refused_by: set[model.TargetId] = dataclasses.field(default_factory=set)
--- a/src/pomeloward/dispatch/sender.py
+++ b/src/pomeloward/dispatch/sender.py
@@ -126,6 +126,14 @@
             attempt.link,
         )
         run_state = response.headers.get(failures.RUN_STATE_HEADER)
+        target_id = attempt.hold.target
+        # A faulty target may send an earlier refusal once more.
+        is_doubtful = run_state is not None and (
+            response.headers.get(failures.REQUEST_ID_HEADER) != request.id
+            or target_id in request.refused_by
+        )
+        if is_doubtful:
+            run_state = None
         failure = failures.classify_status(response.status_code, run_state)
         if failure is None and head.has_known_length(request.method, response):
             return answer
@@ -133,9 +141,10 @@
             failure = _no_length()
             answer.is_unusable = True
         # A switch of protocols that nobody asked for is no answer.
-        answer.is_unusable |= response.status_code < 200
+        answer.is_unusable |= is_doubtful or response.status_code < 200
         if failure.proof is not None:
             request.evidence.prove_not_run(failure.proof)
+            request.refused_by.add(target_id)
         answer.outcome = failure.outcome
         return failedattempt.FailedAttempt(answer.target, failure, answer)
 
--- a/standins/target.py
+++ b/standins/target.py
@@ -17,10 +17,14 @@
 from standins import warmth
 
 _QUEUE_LIMIT_PER_SLOT = 2
-_NOT_RUN = [("Run-State", "not_run")]
 _KEY_HEADERS = (b"authorization", b"x-api-key", b"cookie")
 
 
+def _not_run(request: str) -> list[tuple[str, str]]:
+    """Return the headers of the refusal of a request that did not run."""
+    return [("Run-State", "not_run"), ("Pomeloward-Request-Id", request)]
+
+
 class Target:
     """One target with a limited number of slots."""
 
@@ -98,14 +102,14 @@
         request = asgi.header(scope, "Pomeloward-Request-Id") or ""
         limit = self.warmth.slots * _QUEUE_LIMIT_PER_SLOT
         if self.is_draining or self.waiting >= limit:
-            await asgi.answer(send, 503, b"shed", _NOT_RUN)
+            await asgi.answer(send, 503, b"shed", _not_run(request))
             return
         if not await self._wait_for_slot(scope):
-            await asgi.answer(send, 503, b"deadline", _NOT_RUN)
+            await asgi.answer(send, 503, b"deadline", _not_run(request))
             return
         try:
             if request in self._cancelled:
-                await asgi.answer(send, 503, b"cancelled", _NOT_RUN)
+                await asgi.answer(send, 503, b"cancelled", _not_run(request))
                 return
             await self._run(scope, request, body, receive, send)
         finally:
--- a/tests/entry/test_answers.py
+++ b/tests/entry/test_answers.py
@@ -60,7 +60,10 @@
 
 async def test_shed_request_runs_elsewhere(tmp_path):
     """Guards against giving up, or running twice, when a target sheds."""
-    shed = harness.answer(b"", 503, ("Run-State: not_run",))
+
+    async def shed(stream, seen):
+        await stream.send(_refusal(_request_id(seen)))
+
     async with (
         harness.running(tmp_path, shed, harness.answer(b"good")) as (
             host,
@@ -78,6 +81,56 @@
     assert len(targets[1].seen) == 4
 
 
+async def test_repeated_refusal_does_not_prove_that_an_order_did_not_run(
+    tmp_path,
+):
+    """Callers were told that an order had not run, and it ran twice."""
+    refusals, ran = [], []
+
+    async def refuse_once_and_again(stream, seen):
+        if not seen.head.startswith(b"POST"):
+            await harness.answer(b'{"run": "unknown"}')(stream, seen)
+            return
+        if refusals:
+            ran.append(_request_id(seen))
+        else:
+            refusals.append(_refusal(_request_id(seen)))
+        await stream.send(refusals[0])
+
+    async with (
+        harness.running(tmp_path, refuse_once_and_again) as (host, _),
+        httpx.AsyncClient() as caller,
+    ):
+        for number in range(6):
+            count = len(ran)
+            response = await caller.post(
+                host.url + "/order",
+                headers=_HEADERS | {"Idempotency-Key": f"o{number}"},
+                content=b"x",
+            )
+            if len(ran) > count:
+                assert len(ran) == count + 1
+                assert response.headers["pomeloward-run"] == "unknown"
+            await anyio.sleep(0.3)
+    assert ran
+
+
+def _request_id(seen):
+    (line,) = (
+        line
+        for line in seen.head.split(b"\r\n")
+        if line.lower().startswith(b"pomeloward-request-id:")
+    )
+    return line.partition(b":")[2].strip().decode()
+
+
+def _refusal(request_id):
+    return (
+        "HTTP/1.1 503 X\r\nContent-Length: 0\r\nRun-State: not_run\r\n"
+        f"Pomeloward-Request-Id: {request_id}\r\n\r\n"
+    ).encode()
+
+
 async def test_order_with_unknown_run_is_not_sent_again(tmp_path):
     """Guards against an order that runs twice after a lost connection."""
 
