Keep to what targets announce in relayed answers

Cause: the relayed answer didn't tell which target it came from, so its notices were read by the peer only.

Change: between hosts an answer names its target, and the relaying host reads the notices in it like in those of its own attempts. The header is dropped before the answer goes to the caller. Notices are recorded by target only, since the peer may choose another service of a weighted route.

--- a/src/pomeloward/balance/balancer.py
+++ b/src/pomeloward/balance/balancer.py
@@ -205,7 +205,7 @@
 
     def record_notice(
         self,
-        attempt: attempts.Attempt,
+        target_id: model.TargetId,
         notice: targetnotices.TargetNotice,
         now_ms: float,
     ) -> bool:
@@ -215,12 +215,13 @@
         """
         if notice.tells_rate_limit:
             self._target_limits.record_answer(
-                attempt.target_id, notice.rate_limit_per_s, now_ms
+                target_id, notice.rate_limit_per_s, now_ms
             )
-        target = self.find_target(attempt.service_id, attempt.target_id)
-        if target is None:
-            return False
-        return self._notices.record(target, notice, now_ms)
+        return any(
+            self._notices.record(states[target_id].target, notice, now_ms)
+            for states in self._target_states.values()
+            if target_id in states
+        )
 
     def _eligible(
         self, service_id: model.ServiceId
--- a/src/pomeloward/edge/hostcomponents.py
+++ b/src/pomeloward/edge/hostcomponents.py
@@ -157,6 +157,7 @@
                     self.peer_links,
                     http_conventions.between_hosts(),
                     self._find_relay_peers,
+                    self._handle_target_notice,
                 ),
                 self._path_monitor,
             ),
@@ -271,11 +272,11 @@
             )
 
     def _handle_target_notice(
-        self, attempt: balance.Attempt, notice: balance.TargetNotice
+        self, target_id: model.TargetId, notice: balance.TargetNotice
     ) -> None:
         """Apply what a target announced in an answer, and log it if new."""
-        if self._balancer.record_notice(attempt, notice, model.now_ms()):
-            logevents.log_target_notice(attempt.target_id, notice)
+        if self._balancer.record_notice(target_id, notice, model.now_ms()):
+            logevents.log_target_notice(target_id, notice)
 
     def _handle_changed_membership(self) -> None:
         """Adapt to hosts that came, went, or lost their path to targets."""
--- a/src/pomeloward/relay/application.py
+++ b/src/pomeloward/relay/application.py
@@ -248,6 +248,13 @@
                 log_entry,
             )
             return
+        if self._conventions.is_between_hosts and response.target_id:
+            response.headers.append(
+                (
+                    httpconventions.ANSWERING_TARGET_HEADER,
+                    response.target_id.encode("latin-1"),
+                )
+            )
         await writer.write_response(response)
 
     async def _refuse(
--- a/src/pomeloward/relay/httpconventions.py
+++ b/src/pomeloward/relay/httpconventions.py
@@ -4,6 +4,8 @@
 
 # Between hosts, the digest of the caller's key in hexadecimal.
 KEY_DIGEST_HEADER = b"x-key-digest"
+# Between hosts, the id of the target that answered a relayed request.
+ANSWERING_TARGET_HEADER = b"x-answering-target"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,8 +26,9 @@
     that it ends soon.
 
     A response with one of ``caller_not_run_statuses`` promises the caller
-    that its request did not run. With ``has_key_digests`` requests come from
-    other hosts, with the digest of the caller's key in place of the key.
+    that its request did not run. With ``is_between_hosts`` requests come from
+    other hosts, with the digest of the caller's key in place of the key, and
+    answers name their target.
     """
 
     request_id_header: bytes
@@ -39,8 +42,8 @@
     authorization_prefix: bytes
     target_not_run_statuses: frozenset[int]
     caller_not_run_statuses: frozenset[int]
-    has_key_digests: bool = False
+    is_between_hosts: bool = False
 
     def between_hosts(self) -> "HttpConventions":
         """Return the conventions for requests that hosts relay."""
-        return dataclasses.replace(self, has_key_digests=True)
+        return dataclasses.replace(self, is_between_hosts=True)
--- a/src/pomeloward/relay/noticereader.py
+++ b/src/pomeloward/relay/noticereader.py
@@ -1,5 +1,6 @@
 """Reads what targets announce about themselves in their answers."""
 
+import collections.abc
 import math
 
 import eliot
@@ -16,6 +17,11 @@
 _RETRY_AFTER_HEADER = b"retry-after"
 _MAX_LOGGED_BYTES = 40
 
+# Called with what an answer of a target says of the target.
+OnNotice = collections.abc.Callable[
+    [model.TargetId, balance.TargetNotice], None
+]
+
 
 class NoticeReader:
     """Decodes the headers by which targets announce their state.
--- a/src/pomeloward/relay/peerrelay.py
+++ b/src/pomeloward/relay/peerrelay.py
@@ -14,6 +14,7 @@
 from pomeloward.relay import admittedrequest
 from pomeloward.relay import forwarding
 from pomeloward.relay import httpconventions
+from pomeloward.relay import noticereader
 from pomeloward.relay import requestbodystream
 from pomeloward.relay import requestlogentry
 from pomeloward.relay import responsereader
@@ -60,14 +61,18 @@
         find_peers: collections.abc.Callable[
             [], collections.abc.Sequence[PeerEndpoint]
         ],
+        on_notice: noticereader.OnNotice,
     ) -> None:
         """Create a relay to the peers that ``find_peers`` returns.
 
-        ``conventions`` are those between hosts.
+        ``conventions`` are those between hosts. ``on_notice`` is called with
+        what a target announces in an answer that a peer relays.
         """
         self._peer_links = peer_links
         self._conventions = conventions
         self._find_peers = find_peers
+        self._on_notice = on_notice
+        self._notice_reader = noticereader.NoticeReader(conventions)
 
     async def try_forward(
         self,
@@ -133,6 +138,12 @@
             )
             detail = f"answered {peer_response.status}"
             peer_response.is_relayed = True
+            self._read_notice(response, headers)
+            peer_response.headers = [
+                header
+                for header in peer_response.headers
+                if header[0] != httpconventions.ANSWERING_TARGET_HEADER
+            ]
             if _is_refused_elsewhere(
                 peer_response.status, peer_response.body_start
             ):
@@ -153,6 +164,16 @@
                 f"{peer.id} peer relayed {now_ms - started_ms:.0f}ms {detail}"
             )
 
+    def _read_notice(
+        self, response: httpx.Response, headers: dict[bytes, bytes]
+    ) -> None:
+        """Read what the target announces that answered through the peer."""
+        name = headers.get(httpconventions.ANSWERING_TARGET_HEADER)
+        if name is not None:
+            target_id = model.TargetId(name.decode("latin-1"))
+            notice = self._notice_reader.read(target_id, response, headers)
+            self._on_notice(target_id, notice)
+
     def _make_request(
         self,
         request: admittedrequest.AdmittedRequest,
--- a/src/pomeloward/relay/requesthead.py
+++ b/src/pomeloward/relay/requesthead.py
@@ -161,7 +161,7 @@
 
     Another host sends the digest itself.
     """
-    if conventions.has_key_digests:
+    if conventions.is_between_hosts:
         try:
             digest = value_of.get(httpconventions.KEY_DIGEST_HEADER, b"")
             return bytes.fromhex(digest.decode("ascii")) or None
--- a/src/pomeloward/relay/targetclient.py
+++ b/src/pomeloward/relay/targetclient.py
@@ -28,10 +28,6 @@
 _IDLE_TIME_RATIO = 0.8
 
 Headers = dispatch.Headers
-# Called with what each answer says of the target of its attempt.
-OnNotice = collections.abc.Callable[
-    [balance.Attempt, balance.TargetNotice], None
-]
 
 
 class TargetClient:
@@ -48,7 +44,7 @@
         target_links: dispatch.Links,
         conventions: httpconventions.HttpConventions,
         max_connections_for: collections.abc.Callable[[model.ServiceId], int],
-        on_notice: OnNotice,
+        on_notice: noticereader.OnNotice,
         target_probe: targetprobes.TargetProbe,
     ) -> None:
         self._links = target_links
@@ -182,7 +178,7 @@
         )
         notice = self._notice_reader.read(target.id, response, headers)
         self._limit_idle_time(target, notice.idle_ms)
-        self._on_notice(attempt, notice)
+        self._on_notice(target.id, notice)
         if is_not_run:
             return await self._record_not_run(attempt, response, run_evidence)
         has_success_status = 200 <= status < 300
@@ -197,6 +193,7 @@
                 f"response {status} has no signature or is encoded",
             )
         target_response = await responsereader.read_response(request, response)
+        target_response.target_id = target.id
         if status >= 500 or status < 200:
             return attemptresult.AttemptResult(
                 attempt,
--- a/src/pomeloward/relay/targetresponse.py
+++ b/src/pomeloward/relay/targetresponse.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from pomeloward import dispatch
+from pomeloward import model
 from pomeloward.relay import bodyrest
 
 
@@ -13,14 +14,16 @@
     ``body_start`` is the whole body unless that is large; ``body_rest`` then
     iterates over the remaining chunks, and is None otherwise. It raises
     ``dispatch.AnswerCut`` when the target ends the response early.
-    ``is_relayed`` tells that a peer served the request, and that its status
-    is meant for the caller.
+    ``target_id`` is the target's, None if it is unknown. ``is_relayed`` tells
+    that a peer served the request, and that its status is meant for the
+    caller.
     """
 
     status: int
     headers: dispatch.Headers
     body_start: bytes
     body_rest: bodyrest.BodyRest | None = None
+    target_id: model.TargetId | None = None
     is_relayed: bool = False
 
     async def aclose(self) -> None:
--- a/tests/platform/test_pathloss.py
+++ b/tests/platform/test_pathloss.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from tests.platform import arrivals
 from tests.platform import fleet
 from tests.platform import server as servers
 
@@ -29,6 +30,8 @@
         self._hosts = set()
         self._ports = {one.port for one in world.servers.values()}
         self._connect = anyio.connect_tcp
+        # How servers answer the hosts that aren't cut off, by name.
+        self.behaviours = {}
         monkeypatch.setattr(anyio, "connect_tcp", self._connect_unless_cut)
         for server in world.servers.values():
             server.behave = self._answer_unless_cut
@@ -54,7 +57,8 @@
         address = stream.extra(anyio.abc.SocketAttribute.remote_address)[0]
         if address in self._hosts and not self._keeps:
             await anyio.sleep_forever()
-        await servers.answer(server, stream, request, headers)
+        behave = self.behaviours.get(server.name, servers.answer)
+        await behave(server, stream, request, headers)
 
 
 async def _call(world, nodes, duration_s, method="GET", path="/safe/"):
@@ -141,6 +145,24 @@
         assert _served_ratio(responses) >= 0.98
 
 
+async def test_host_keeps_to_what_relayed_answers_announce(world, monkeypatch):
+    """A target got requests of a host that had passed on its leaving."""
+    leaving = arrivals.Arrivals(servers.leaving)
+    async with world.running(nodes=("n1", "n2"), names=("s1", "s2")):
+        cut = Cut(world, monkeypatch)
+        await _call(world, world.nodes, 0.5)
+        cut.begin("n1")
+        await _call(world, ("n1",), 1.5)
+        cut.behaviours["s1"] = leaving
+        with anyio.fail_after(10):
+            while not leaving.at_s:
+                await _call(world, ("n1",), 0.25)
+        cut.end()
+        await _call(world, ("n1",), 2.5)
+        await _call(world, ("n1",), 2.0)
+        assert world.addresses["n1"] not in leaving.at_s
+
+
 async def test_hosts_that_all_lost_their_path_go_on_trying(world, monkeypatch):
     async with world.running(nodes=("n1", "n2"), names=_NAMES):
         cut = Cut(world, monkeypatch, refuses=True)
--- a/tests/platform/test_targetnotices.py
+++ b/tests/platform/test_targetnotices.py
@@ -7,6 +7,7 @@
 import pytest
 
 import pomeloward
+from tests.platform import arrivals
 from tests.platform import server as servers
 
 pytestmark = pytest.mark.anyio
@@ -39,30 +40,10 @@
     return [response.status_code for response, _ in responses]
 
 
-class Arrivals:
-    """Notes when each host sent a request to a server, and lets it answer."""
-
-    def __init__(self, behave):
-        self.at_s = {}
-        self._behave = behave
-
-    async def __call__(self, server, stream, request, headers):
-        host = stream.extra(anyio.abc.SocketAttribute.remote_address)[0]
-        self.at_s.setdefault(host, []).append(anyio.current_time())
-        await self._behave(server, stream, request, headers)
-
-    async def wait_for_any(self, world):
-        with anyio.fail_after(10):
-            while not self.at_s:
-                await _call(world, 0.25)
-
-    def count_between(self, start_s, end_s):
-        """Count requests so long after the first one of their host."""
-        return sum(
-            start_s < at_s - arrivals_s[0] < end_s
-            for arrivals_s in self.at_s.values()
-            for at_s in arrivals_s
-        )
+async def _call_until_any_arrives(world, noted):
+    with anyio.fail_after(10):
+        while not noted.at_s:
+            await _call(world, 0.25)
 
 
 @pytest.mark.parametrize("refuses", [False, True])
@@ -80,11 +61,11 @@
 
     async with world.running(nodes=("n1", "n2"), names=("s1", "s2", "s3")):
         await _call(world, 0.5)
-        world.servers["s1"].behave = arrivals = Arrivals(behave)
-        await arrivals.wait_for_any(world)
+        world.servers["s1"].behave = noted = arrivals.Arrivals(behave)
+        await _call_until_any_arrives(world, noted)
         await _call(world, _DRAIN_S)
         statuses = _statuses(await _call(world, 1.5))
-        assert not arrivals.count_between(_DRAIN_S, math.inf)
+        assert not noted.count_between(_DRAIN_S, math.inf)
         assert statuses.count(200) >= 0.98 * len(statuses)
 
 
@@ -122,10 +103,11 @@
     async with world.running(nodes=("n1", "n2"), names=("s1", "s2", "s3")):
         await _call(world, 0.5)
         server = world.servers["s1"]
-        server.behave = arrivals = Arrivals(servers.pausing("2.5", is_marked))
-        await arrivals.wait_for_any(world)
+        pausing = servers.pausing("2.5", is_marked)
+        server.behave = noted = arrivals.Arrivals(pausing)
+        await _call_until_any_arrives(world, noted)
         statuses = _statuses(await _call(world, 2.5))
-        assert not arrivals.count_between(_SETTLING_S, 2.5)
+        assert not noted.count_between(_SETTLING_S, 2.5)
         assert statuses.count(200) >= 0.98 * len(statuses)
         server.behave = servers.answer
         count = len(server.seen)
