Spread relayed requests over the zones that have a path

Cause: the order in which peers are tried was fixed.

Change: the other zones are tried in random order for each request. Those of the host's own zone still come first, since links between zones cost more.

Evidence: test_hosts_without_a_zone_mate_spread_what_they_relay_over_the_zones fails on the code before (zone b only).

--- a/src/pomeloward/edge/hostcomponents.py
+++ b/src/pomeloward/edge/hostcomponents.py
@@ -55,7 +55,7 @@
 
         ``current_bounds`` returns the bounds of the latest settings.
         """
-        rng = random.Random(host_settings.host)  # noqa: S311
+        self._rng = rng = random.Random(host_settings.host)  # noqa: S311
         self.metrics = observability.Metrics()
         self.peers = peer.WebsocketPeers(
             peer.Identity(host_settings.host, incarnation),
@@ -304,7 +304,9 @@
                 model.TargetId(member.host),
                 f"http://{member.ip_address}:{port}",
             )
-            for member in self.membership.relay_members(model.now_ms())
+            for member in self.membership.relay_members(
+                model.now_ms(), self._rng
+            )
         ]
 
     def _rank_and_has_peers(self, now_ms: float) -> tuple[int, bool]:
--- a/src/pomeloward/fleet/membership.py
+++ b/src/pomeloward/fleet/membership.py
@@ -2,6 +2,7 @@
 
 import bisect
 import collections.abc
+import random
 
 from pomeloward import model
 from pomeloward.fleet import member as members
@@ -256,15 +257,20 @@
             for member in self.active_members(zone, now_ms)
         ]
 
-    def relay_members(self, now_ms: float) -> list[members.Member]:
+    def relay_members(
+        self, now_ms: float, rng: random.Random
+    ) -> list[members.Member]:
         """Return other active hosts that have a path to targets.
 
-        Those of this host's zone come first.
+        Those of this host's zone come first, since links between zones cost
+        more. The other zones share the requests of a zone without any.
         """
         own_zone = self.own_member.zone
+        other_zones = sorted(self._zones - {own_zone})
+        rng.shuffle(other_zones)
         return [
             member
-            for zone in sorted(self._zones, key=lambda one: one != own_zone)
+            for zone in (own_zone, *other_zones)
             for member in self.active_members(zone, now_ms)
             if member.has_target_path and member.host != self.own_member.host
         ]
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -1,5 +1,7 @@
 """Tests of membership, leaders and the hosts that callers are sent to."""
 
+import random
+
 import msgspec
 import pytest
 
@@ -298,6 +300,19 @@
         assert simulation.hosts_for_callers(host, "a") == [large_host]
 
 
+def test_hosts_without_a_zone_mate_spread_what_they_relay_over_the_zones():
+    """One zone got the relayed requests of all others."""
+    fleet_simulation = FleetSimulation({"a": 1, "b": 1, "c": 1, "d": 1})
+    fleet_simulation.run(3_000)
+    membership = fleet_simulation.memberships["10.0.0.0:80"]
+    rng = random.Random(1)
+    first_zones = {
+        membership.relay_members(fleet_simulation.now_ms, rng)[0].zone
+        for _ in range(50)
+    }
+    assert first_zones == {"b", "c", "d"}
+
+
 def test_host_restarted_with_its_clock_set_back_is_live():
     simulation = FleetSimulation({"a": 3, "b": 2})
     simulation.run(3_000)
