Tell crashes of targets from this host's own broken path

A request that nobody else asks for was refused for five minutes after its host had lost its path to targets four times (test_request_is_not_quarantined_for_broken_paths: 503 four times of four on, 200 now).

Cause: a target counted as crashed if it closed a connection and accepted no other one. With a broken path no target accepts one.

Change: a target has crashed if it accepts no connection while another target does. The check that the path monitor uses is now an object of its own and serves both.

Ruled out: waiting for the monitor's next check, whose result comes after the crash was reported to other hosts.

--- a/src/pomeloward/edge/hostcomponents.py
+++ b/src/pomeloward/edge/hostcomponents.py
@@ -129,9 +129,8 @@
         self._path_monitor = relay.PathMonitor(
             self._handle_changed_path, lambda: self.path_watcher.wake()
         )
-        self.path_watcher = relay.PathWatcher(
-            self._path_monitor, target_probe, self.replica.targets, rng
-        )
+        path_probe = relay.PathProbe(target_probe, self.replica.targets, rng)
+        self.path_watcher = relay.PathWatcher(self._path_monitor, path_probe)
         self._relay_endpoint = host_settings.relay
         target_client = relay.TargetClient(
             self.target_links,
@@ -139,6 +138,7 @@
             self._max_connections_per_target,
             self._handle_target_notice,
             target_probe,
+            path_probe,
         )
         forwarder = relay.Forwarder(
             self.slot_allocator,
--- a/src/pomeloward/relay/__init__.py
+++ b/src/pomeloward/relay/__init__.py
@@ -8,6 +8,7 @@
 from pomeloward.relay.httpconventions import HttpConventions as HttpConventions
 from pomeloward.relay.openrequests import OpenRequests as OpenRequests
 from pomeloward.relay.pathmonitor import PathMonitor as PathMonitor
+from pomeloward.relay.pathprobe import PathProbe as PathProbe
 from pomeloward.relay.pathwatcher import PathWatcher as PathWatcher
 from pomeloward.relay.peerrelay import PeerEndpoint as PeerEndpoint
 from pomeloward.relay.peerrelay import PeerRelay as PeerRelay
--- a/src/pomeloward/relay/targetclient.py
+++ b/src/pomeloward/relay/targetclient.py
@@ -14,6 +14,7 @@
 from pomeloward.relay import attemptresult
 from pomeloward.relay import httpconventions
 from pomeloward.relay import noticereader
+from pomeloward.relay import pathprobe
 from pomeloward.relay import requestbodystream
 from pomeloward.relay import responsereader
 from pomeloward.relay import sendobserver
@@ -35,8 +36,8 @@
 
     ``max_connections_for`` returns how many connections this host may open
     to a target of a service. ``on_notice`` is called with what a target
-    announces in each answer. ``target_probe`` tells whether a target that
-    closed a connection has crashed.
+    announces in each answer. ``target_probe`` and ``path_probe`` tell whether
+    a target that closed a connection has crashed.
     """
 
     def __init__(
@@ -46,6 +47,7 @@
         max_connections_for: collections.abc.Callable[[model.ServiceId], int],
         on_notice: noticereader.OnNotice,
         target_probe: targetprobes.TargetProbe,
+        path_probe: pathprobe.PathProbe,
     ) -> None:
         self._links = target_links
         self._conventions = conventions
@@ -53,6 +55,7 @@
         self._on_notice = on_notice
         self._notice_reader = noticereader.NoticeReader(conventions)
         self._target_probe = target_probe
+        self._path_probe = path_probe
 
     async def send(
         self,
@@ -81,12 +84,20 @@
                 attempt, error, send_observer.has_started
             )
             if send_observer.has_started and response is None:
-                is_up = await self._target_probe.accepts_connections(target)
-                result.has_crashed_target = not is_up
+                result.has_crashed_target = await self._is_down(target)
             return result
         finally:
             link.leave(model.now_ms())
 
+    async def _is_down(self, target: replica.Target) -> bool:
+        """Return whether a target accepts no connections, while others do.
+
+        If none does, it is this host's path that is broken.
+        """
+        if await self._target_probe.accepts_connections(target):
+            return False
+        return await self._path_probe.connects_to_any()
+
     def _get_link(self, target: replica.Target) -> links.Link:
         """Return the connection pool for a target's current address."""
         link = self._links.find(target)
--- a/tests/platform/test_pathloss.py
+++ b/tests/platform/test_pathloss.py
@@ -172,6 +172,24 @@
         assert _served_ratio(responses) >= 0.98
 
 
+async def test_request_is_not_quarantined_for_broken_paths(world, monkeypatch):
+    """Connections that broke with the path counted as crashes of targets."""
+    async with world.running(nodes=("n1",), names=_NAMES):
+        cut = Cut(world, monkeypatch, refuses=True, keeps=True)
+        for _ in range(4):
+            await world.get("/safe/")
+            cut.behaviours = dict.fromkeys(_NAMES, servers.close)
+            cut.begin("n1")
+            await world.get("/safe/rare")
+            cut.behaviours = {}
+            cut.end()
+            await anyio.sleep(1.2)
+        statuses = []
+        for _ in range(4):
+            statuses.append((await world.get("/safe/rare")).status_code)
+        assert statuses == [200] * 4
+
+
 async def test_host_keeps_to_what_relayed_answers_announce(world, monkeypatch):
     """A target got requests of a host that had passed on its leaving."""
     leaving = arrivals.Arrivals(servers.leaving)
