--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -32,6 +32,7 @@
         self._world = world
         self._rng = world.rng
         self._faulty = set()
+        self._is_cutting = False
         self._kinds = [
             self._server,
             self._server,
@@ -48,6 +49,10 @@
             self._route,
             self._limit,
             self._restore,
+            self._leave,
+            self._ask_for_pause,
+            self._send_deadly,
+            self._cut_from_servers,
         ]
         if plant != "none":
             # The bounds hold for undisturbed hosts, so that a plant needs
@@ -62,6 +67,14 @@
             self._kinds.append(self._limit)
         if plant == "era":
             self._kinds.extend([self._restore, self._key, self._key])
+        if plant == "leaving":
+            self._kinds.append(self._leave)
+        if plant == "pause":
+            self._kinds.append(self._ask_for_pause)
+        if plant == "deadly":
+            self._kinds.append(self._send_deadly)
+        if plant == "path":
+            self._kinds = [self._cut_from_servers]
 
     async def run(self, duration_s):
         """Begin faults for a while; returns when all have ended."""
@@ -73,7 +86,7 @@
 
     async def _server(self):
         name = self._rng.choice(list(self._world.servers))
-        if name in self._world.limits:
+        if name in self._world.limits or name in self._faulty:
             return
         self._faulty.add(name)
         self._world.set_behaviour(name, self._rng.choice(_BEHAVIOURS))
@@ -97,6 +110,80 @@
         del world.limits[name]
         world.set_behaviour(name, servers.answer)
 
+    async def _leave(self):
+        """Let a server say that it is leaving, and start it anew later.
+
+        The store goes on saying that it is ready.
+        """
+        world = self._world
+        name = self._choose_calm()
+        if name is None:
+            return
+        left = [name, anyio.current_time(), float("inf")]
+        world.record.leaving.append(left)
+        world.set_behaviour(name, servers.leaving)
+        await anyio.sleep(self._rng.uniform(4.0, 6.0))
+        left[2] = anyio.current_time()
+        world.set_behaviour(name, servers.answer)
+        world.restart_server(name)
+        self._faulty.discard(name)
+
+    async def _ask_for_pause(self):
+        """Let a server refuse all requests and say for how long."""
+        world = self._world
+        name = self._choose_calm()
+        if name is None:
+            return
+        pause_s = self._rng.uniform(1.5, 3.0)
+        paused = [name, pause_s, anyio.current_time()]
+        world.record.pauses.append(paused)
+        is_marked = self._rng.random() < 0.5
+        world.set_behaviour(name, servers.pausing(f"{pause_s:.2f}", is_marked))
+        await anyio.sleep(2 * pause_s)
+        paused.append(anyio.current_time())
+        world.set_behaviour(name, servers.answer)
+        self._faulty.discard(name)
+
+    async def _send_deadly(self):
+        """Send one request that crashes its servers, to all hosts in turn."""
+        path = f"/safe/deadly-{self._rng.randrange(10**9)}"
+        for _ in range(self._rng.randint(10, 20)):
+            address = self._rng.choice(list(self._world.hosts.values()))
+            await self._world.send_deadly(address, path)
+            await anyio.sleep(self._rng.uniform(0.1, 0.5))
+
+    async def _cut_from_servers(self):
+        """Cut hosts off from all servers, while callers reach them."""
+        world = self._world
+        if self._is_cutting:
+            return
+        self._is_cutting = True
+        names = self._rng.sample(list(world.hosts), self._rng.randint(1, 3))
+        cut = [
+            {world.hosts[name] for name in names},
+            anyio.current_time(),
+            float("inf"),
+        ]
+        world.record.cuts.append(cut)
+        lasts_s = self._rng.uniform(4.5, 7.0)
+        with world.cut_from_servers(names):
+            await world.call_all_hosts(lasts_s)
+            cut[2] = anyio.current_time()
+        self._is_cutting = False
+
+    def _choose_calm(self):
+        """Return a server without a fault, None if the drawn one has any."""
+        world = self._world
+        name = self._rng.choice(list(world.servers))
+        if (
+            name in self._faulty
+            or name in world.limits
+            or name in world.record.draining
+        ):
+            return None
+        self._faulty.add(name)
+        return name
+
     async def _restore(self):
         """Let the store go back to a copy; then all is written again."""
         world = self._world
--- a/tests/platform/soak/planted.py
+++ b/tests/platform/soak/planted.py
@@ -1,12 +1,18 @@
 """Starts a host with a fault planted in it, to prove a check."""
 
+import os
+import pathlib
 import sys
 
+import anyio
+
 from pomeloward import balance
 from pomeloward import dispatch
 from pomeloward import policy
+from pomeloward import quarantine
 from pomeloward import relay
 from pomeloward import replica
+from pomeloward.balance import targetnotices
 from pomeloward.commands import edge
 from pomeloward.relay import targetresponse
 
@@ -16,6 +22,37 @@
     _PLANTS[name]()
 
 
+def _cut_where_told(path):
+    """Let new connections hang to the ports that a file lists.
+
+    A proxy can't do this: connections to it succeed before it sees them.
+    """
+    connect = anyio.connect_tcp
+
+    async def connect_unless_cut(remote_host, remote_port, **fields):
+        if path.exists() and str(remote_port) in path.read_text().split():
+            await anyio.sleep_forever()
+        return await connect(remote_host, remote_port, **fields)
+
+    anyio.connect_tcp = connect_unless_cut
+
+
+def _leaving():
+    targetnotices.TargetNotices.is_leaving = lambda self, target_id: False
+
+
+def _pause():
+    targetnotices.TargetNotices.pause_ms = lambda self, target_id, now_ms: 0.0
+
+
+def _deadly():
+    quarantine.RequestQuarantine.remaining_ms = lambda self, name, now_ms: 0.0
+
+
+def _path():
+    relay.PathMonitor.is_check_due = lambda self, now_ms: False
+
+
 def _twice():
     relay.AdmittedRequest.can_repeat = property(lambda request: True)
 
@@ -104,10 +141,15 @@
     "swap": _swap,
     "limit": _limit,
     "era": _era,
+    "leaving": _leaving,
+    "pause": _pause,
+    "deadly": _deadly,
+    "path": _path,
 }
 
 if __name__ == "__main__":
     assert dispatch.RunEvidence
     if sys.argv[1] != "none":
         plant(sys.argv[1])
+    _cut_where_told(pathlib.Path(os.environ["POMELOWARD_CUT_FILE"]))
     sys.exit(edge.main(sys.argv[2:]))
--- a/tests/platform/soak/world.py
+++ b/tests/platform/soak/world.py
@@ -1,5 +1,6 @@
 """The processes, servers and callers of one seed."""
 
+import collections
 import contextlib
 import functools
 import itertools
@@ -20,9 +21,11 @@
 from tests.platform.soak import record
 
 _ROOT = pathlib.Path(__file__).parents[3]
-_KINDS = ("front", "ready", "control", "directory", "metrics")
+_KINDS = ("front", "ready", "control", "directory", "metrics", "relay")
 ZONES = ("a", "b")
 _CALLERS = 6
+# The number of the caller that a fault brings along.
+_EXTRA_CALLER = _CALLERS
 _PAUSE_S = 0.05
 _LAST_CONNECTIONS_S = 0.2
 # Ten checks a second for a minute.
@@ -55,6 +58,7 @@
         self.is_over = False
         # Rate limits that servers name now.
         self.limits = {}
+        self._starts = collections.Counter()
         self._published = {}
         self._sequence = itertools.count(1)
         self._plant = plant
@@ -114,10 +118,9 @@
     def write_again(self):
         """Write what the operators and servers wrote before a restoration."""
         self.store.put("op/config", self._published)
-        for name in self.record.draining:
-            self.store.put(
-                f"servers/{name}", self.entry(name, state="draining")
-            )
+        for name in [*self.record.draining, *self._starts]:
+            state = "draining" if name in self.record.draining else "ready"
+            self.store.put(f"servers/{name}", self.entry(name, state=state))
         out = {
             zone
             for zone, _, until_s in self.record.zones_out
@@ -142,9 +145,18 @@
     def entry(self, name, **fields):
         address = f"127.0.0.1:{self.proxies[name].port}"
         return self.servers[name].entry(
-            address=address, sequence=next(self._sequence), **fields
+            address=address,
+            sequence=next(self._sequence),
+            born=1 + self._starts[name],
+            **fields,
         )
 
+    def restart_server(self, name):
+        """Write the entry of a server that has started anew."""
+        self._starts[name] += 1
+        if name not in self.record.draining:
+            self.store.put(f"servers/{name}", self.entry(name))
+
     def set_behaviour(self, name, behave):
         self.servers[name].behave = functools.partial(self._behave, behave)
 
@@ -164,7 +176,10 @@
                 str(self._ports["metrics"]),
             ],
             cwd=_ROOT,
-            env={"PYTHONPATH": f"{_ROOT / 'src'}:{_ROOT}"},
+            env={
+                "PYTHONPATH": f"{_ROOT / 'src'}:{_ROOT}",
+                "POMELOWARD_CUT_FILE": str(self._cut_file(name)),
+            },
             stdout=log,
             stderr=log,
         )
@@ -182,6 +197,58 @@
             process.kill()
         process.wait()
 
+    @contextlib.contextmanager
+    def cut_from_servers(self, names):
+        """Let hosts reach no server, on new or kept connections."""
+        cuts = {self.hosts[name]: anyio.Event() for name in names}
+        ports = " ".join(str(one.port) for one in self.proxies.values())
+        for name in names:
+            self._cut_file(name).write_text(ports)
+        for link in self.proxies.values():
+            link.cuts = cuts
+        try:
+            yield
+        finally:
+            for name in names:
+                self._cut_file(name).unlink()
+            for link in self.proxies.values():
+                link.cuts = {}
+            for cut in cuts.values():
+                cut.set()
+
+    async def call_all_hosts(self, duration_s):
+        """Send look-ups to each host for a while."""
+        async with (
+            httpx.AsyncClient(trust_env=False, timeout=4.0) as client,
+            anyio.create_task_group() as tasks,
+        ):
+            end_s = anyio.current_time() + duration_s
+            while anyio.current_time() < end_s and not self.is_over:
+                for address in self.hosts.values():
+                    host = f"{address}:{self._ports['front']}"
+                    tasks.start_soon(
+                        self._call, client, host, _EXTRA_CALLER, "/safe/"
+                    )
+                await anyio.sleep(2 * _PAUSE_S)
+            tasks.cancel_scope.cancel()
+
+    async def send_deadly(self, address, path):
+        """Send a request to a host that crashes the servers that run it."""
+        headers = {
+            "Host": fleet.HOST,
+            "X-Request-Id": f"deadly-{next(self._ids):06}",
+            "X-Timeout-Ms": "1500",
+            "X-Deadly": path,
+            "Authorization": f"Token {self.keys[0]}",
+        }
+        url = f"http://{address}:{self._ports['front']}{path}"
+        async with httpx.AsyncClient(trust_env=False, timeout=2.0) as client:
+            with contextlib.suppress(httpx.HTTPError):
+                await client.get(url, headers=headers)
+
+    def _cut_file(self, name):
+        return self._directory.resolve() / f"{name}.cut"
+
     async def _start_store(self):
         await self._tasks.start(serving.serve, self.store, self._store_port)
         await self._tasks.start(self.store_proxy.run)
@@ -210,7 +277,15 @@
     async def _behave(self, behave, server, stream, request, headers):
         """Note a request at a server, and behave."""
         now_s = anyio.current_time()
-        self.record.arrivals.append((request, server.name, now_s))
+        port = stream.extra(anyio.abc.SocketAttribute.remote_port)
+        sender = self.proxies[server.name].callers.get(port, "")
+        arrival = record.Arrival(request, server.name, now_s, sender)
+        self.record.arrivals.append(arrival)
+        if "x-deadly" in headers:
+            self.record.crashes.append((headers["x-deadly"], arrival))
+            self.proxies[server.name].crash()
+            server.crash()
+            await anyio.sleep_forever()
         before = len(server.ran)
         try:
             await behave(server, stream, request, headers)
@@ -245,11 +320,12 @@
                 continue
         return []
 
-    async def _call(self, client, host, number):
-        is_order = self.rng.random() < 0.6
-        path = "/order/" if is_order else "/safe/"
-        if self.has_new_route and self.rng.random() < 0.3:
-            path, is_order = "/new/", False
+    async def _call(self, client, host, number, path=None):
+        if path is None:
+            path = "/order/" if self.rng.random() < 0.6 else "/safe/"
+            if self.has_new_route and self.rng.random() < 0.3:
+                path = "/new/"
+        is_order = path == "/order/"
         one = record.Request(
             id=f"q{number}-{next(self._ids):06}",
             is_order=is_order,
@@ -285,6 +361,7 @@
         return (
             f'node = "{name}"\nzone = "{name[0]}"\nregion = "r"\n'
             f"seeds = {seeds!r}\nbootstrap = {str(is_first).lower()}\n"
+            f"port-range = [{self._ports['relay']}, {self._ports['relay']}]\n"
             f'[zones]\na = "r"\nb = "r"\n[listen]\n{listen}'
             f'[platform]\naddress = "127.0.0.1:{self.store_proxy.port}"\n'
         )
