Plant faults in the relay and in the crash evidence

Two plants edited lines that the last changes replaced, so that make plants would have ended with an error. Six new ones cover what the changes decide: the budget and the attempts of relayed look-ups, orders without a response of a peer, missing answers, look-ups in a broken path, and broken paths that look like crashes.

The whole list was not run.

--- a/bench/plants.py
+++ b/bench/plants.py
@@ -193,9 +193,9 @@
     ),
     Plant(
         "host-without-path-serves-alone",
-        _SOURCE + "relay/relayingforwarder.py",
-        "        if self._path_monitor.is_lost:\n            relayed",
-        "        if False:\n            relayed",
+        _SOURCE + "relay/directforwarder.py",
+        "return self._path_monitor.is_lost and self._has_peer_with_path()",
+        "return False",
         ("tests/platform/test_pathloss.py",),
     ),
     Plant(
@@ -208,10 +208,52 @@
     Plant(
         "closed-connection-taken-for-a-crash",
         _SOURCE + "relay/targetclient.py",
-        "result.has_crashed_target = not is_up",
+        "result.has_crashed_target = await self._is_down(target)",
         "result.has_crashed_target = True",
         ("tests/platform/test_deadlyrequests.py",),
     ),
+    Plant(
+        "broken-path-taken-for-a-crash",
+        _SOURCE + "relay/targetclient.py",
+        "return await self._path_probe.connects_to_any()",
+        "return True",
+        ("tests/platform/test_pathloss.py",),
+    ),
+    Plant(
+        "sent-look-ups-left-in-a-broken-path",
+        _SOURCE + "relay/directforwarder.py",
+        "(is_silent and request.attempts_left > 0)",
+        "False",
+        ("tests/platform/test_pathloss.py",),
+    ),
+    Plant(
+        "relay-beyond-the-retry-budget",
+        _SOURCE + "relay/relayingforwarder.py",
+        ").try_take_token()",
+        ") is not None",
+        ("tests/relay/test_peerrelay.py",),
+    ),
+    Plant(
+        "relay-beyond-the-attempts-left",
+        _SOURCE + "relay/application.py",
+        "route.max_attempts, head.attempts_left or route.max_attempts",
+        "route.max_attempts, route.max_attempts",
+        ("tests/platform/test_pathloss.py",),
+    ),
+    Plant(
+        "order-relayed-to-a-second-peer",
+        _SOURCE + "relay/peerrelay.py",
+        "return may_repeat and request.attempts_left > 0",
+        "return request.attempts_left > 0",
+        ("tests/relay/test_relayrounds.py",),
+    ),
+    Plant(
+        "missing-answers-not-noticed",
+        _SOURCE + "relay/pathmonitor.py",
+        "missing_answers >= _MISSING_ANSWER_LIMIT",
+        "False",
+        ("tests/relay/test_pathmonitor.py",),
+    ),
 )
 
 
