Allow soak arrivals that waited in a cut link to be late

Traced by the hosts' logs: the host had sent the order to a-s0 0.9 s before the server was drained, into a connection that a cut held up; the host answered 504 after 1.0 s, and the bytes arrived when the cut ended 5 s later. The users' rules don't count a request as late at a server whose link to the sender was cut in the last three seconds, and name a cut of the host as an excuse for limits and pauses.

--- a/tests/platform/soak/record.py
+++ b/tests/platform/soak/record.py
@@ -114,6 +114,13 @@
             for start, end in self.disturbed[host] + self.disturbed["*"]
         )
 
+    def _is_held_up(self, sender, at_s):
+        """Return whether a request may have waited in a broken link."""
+        return any(
+            sender in addresses and start <= at_s <= end + _CALM_S
+            for addresses, start, end in self.cuts
+        )
+
     def _once(self):
         counts = collections.Counter(name for name, *_ in self.runs)
         for name, count in counts.items():
@@ -149,6 +156,8 @@
             since_s = self.draining.get(server)
             if one is None or since_s is None:
                 continue
+            if self._is_held_up(sender, at_s):
+                continue
             if at_s > since_s + _DRAIN_S + _SLACK_S and all(
                 self._in_touch(host, since_s, at_s)
                 for host in (one.host, sender)
@@ -158,6 +167,8 @@
     def _zone(self):
         for name, server, at_s, sender in self.arrivals:
             one = self.requests.get(name)
+            if self._is_held_up(sender, at_s):
+                continue
             for zone, from_s, until_s in self.zones_out:
                 is_in = from_s + _ZONE_S + _SLACK_S < at_s < until_s
                 if one is None or not is_in or not server.startswith(zone):
@@ -186,6 +197,8 @@
         for name, at_server, at_s, sender in self.arrivals:
             if name not in self.requests or at_server != server:
                 continue
+            if self._is_held_up(sender, at_s):
+                continue
             if not from_s <= at_s <= until_s:
                 continue
             told_s.setdefault(sender, at_s + _LIMIT_KNOWN_S)
@@ -208,6 +221,8 @@
         for server, pause_s, from_s, until_s in self.pauses:
             counts = collections.Counter()
             for arrival, first_s in self._after_first(server, from_s, until_s):
+                if self._is_held_up(arrival.sender, arrival.at_s):
+                    continue
                 if arrival.at_s - first_s - _SLACK_S > _PAUSE_KNOWN_S and (
                     arrival.at_s - first_s < pause_s
                 ):
@@ -229,6 +244,10 @@
                 from_s <= arrival.at_s <= until_s
             ):
                 continue
+            if arrival.sender not in first_s and self._is_held_up(
+                arrival.sender, arrival.at_s
+            ):
+                continue  # The answer may not have come back.
             since_s = first_s.setdefault(arrival.sender, arrival.at_s)
             if not any(
                 since_s <= end and start <= arrival.at_s
@@ -250,6 +269,7 @@
                 for one in crashes
                 if one.at_s > third_s + _CALM_S + _SLACK_S
                 and self._in_touch(one.sender, third_s, one.at_s)
+                and not self._is_held_up(one.sender, one.at_s)
             ]
             if len(late) > _DEADLY_CRASHES:
                 yield f"deadly: {path} reached {len(late)} servers more"
