Check the path with one connection, and rarely for a single late answer

Cause: each check opened two connections at once, and a single late answer of a hung target called for a check as often as failed connections do.

Change: a check tries one target after the other, 15 ms apart, so that a good path costs one connection. A late answer while no target answers calls for a check once in two seconds at most; failed attempts, and missing answers of many targets, call for checks as before. The number of checks is a metric.

Ruled out: checks of idle hosts, which have no open attempts.

--- a/src/pomeloward/edge/hostcomponents.py
+++ b/src/pomeloward/edge/hostcomponents.py
@@ -130,7 +130,9 @@
             self._handle_changed_path, lambda: self.path_watcher.wake()
         )
         path_probe = relay.PathProbe(target_probe, self.replica.targets, rng)
-        self.path_watcher = relay.PathWatcher(self._path_monitor, path_probe)
+        self.path_watcher = relay.PathWatcher(
+            self._path_monitor, path_probe, self.metrics
+        )
         self._relay_endpoint = host_settings.relay
         target_client = relay.TargetClient(
             self.target_links,
--- a/src/pomeloward/relay/pathmonitor.py
+++ b/src/pomeloward/relay/pathmonitor.py
@@ -18,8 +18,9 @@
 _SILENT_TARGET_LIMIT = 3
 # Below this time without any answer, targets can't be told from a busy host.
 _MIN_SILENCE_MS = 60.0
-# Shortest intervals between checks, for silence and for the other reasons. A
-# good check doubles them, up to the longest one, for as long.
+# Shortest intervals between checks, for silence of many targets and for
+# failures. A good check doubles them, up to the longest one, for as long.
+# Late answers, which any hung target causes, have the longest one.
 _SILENCE_INTERVAL_MS = 200.0
 _CHECK_INTERVAL_MS = 500.0
 _MAX_INTERVAL_MS = 2_000.0
@@ -131,6 +132,8 @@
             interval_ms = _SILENCE_INTERVAL_MS
         elif self.is_lost or self._has_failed_attempts(now_ms):
             interval_ms = _CHECK_INTERVAL_MS
+        elif self._has_late_attempt(now_ms):
+            interval_ms = _MAX_INTERVAL_MS
         else:
             return False
         interval_ms = min(
@@ -189,13 +192,12 @@
             return True
         if now_ms - self._answered_at_ms < _NO_ANSWER_MS:
             return False
-        return (
-            bool(self._failed_at_ms)
-            or now_ms < self._requested_until_ms
-            or any(
-                attempt.silent_at_ms <= now_ms
-                for attempt in self._open_attempts
-            )
+        return bool(self._failed_at_ms) or now_ms < self._requested_until_ms
+
+    def _has_late_attempt(self, now_ms: float) -> bool:
+        """Return whether an answer is late while no other target answers."""
+        return now_ms - self._answered_at_ms >= _NO_ANSWER_MS and any(
+            attempt.silent_at_ms <= now_ms for attempt in self._open_attempts
         )
 
     def _lacks_answers(self, now_ms: float) -> bool:
--- a/src/pomeloward/relay/pathprobe.py
+++ b/src/pomeloward/relay/pathprobe.py
@@ -11,9 +11,9 @@
 # Targets that are tried until one accepts a connection. Even if half of all
 # targets are down, this rarely finds none of them.
 _MAX_TRIED_TARGETS = 6
-# So many are tried at once, and as many more after this time.
-_TRIED_TOGETHER = 2
-_STAGGER_S = 0.025
+# Time until the next one is tried beside those before. Usually the first one
+# accepts sooner, since connections are dear to targets.
+_STAGGER_S = 0.015
 # A round trip takes a few ms.
 _TIMEOUT_S = 0.125
 
@@ -60,6 +60,5 @@
         with anyio.move_on_after(_TIMEOUT_S):
             async with anyio.create_task_group() as tasks:
                 for number, target in enumerate(chosen):
-                    delay_s = number // _TRIED_TOGETHER * _STAGGER_S
-                    tasks.start_soon(try_target, target, delay_s)
+                    tasks.start_soon(try_target, target, number * _STAGGER_S)
         return has_connected
--- a/src/pomeloward/relay/pathwatcher.py
+++ b/src/pomeloward/relay/pathwatcher.py
@@ -3,6 +3,7 @@
 import anyio
 
 from pomeloward import model
+from pomeloward import observability
 from pomeloward.relay import pathmonitor
 from pomeloward.relay import pathprobe
 
@@ -16,9 +17,11 @@
         self,
         monitor: pathmonitor.PathMonitor,
         path_probe: pathprobe.PathProbe,
+        metrics: observability.Metrics,
     ) -> None:
         self._monitor = monitor
         self._path_probe = path_probe
+        self._metrics = metrics
         self._woken = anyio.Event()
 
     def wake(self) -> None:
@@ -39,6 +42,7 @@
         """Try to connect to a few targets until one accepts."""
         if not self._path_probe.has_targets():
             return
+        self._metrics.increment("pomeloward_path_checks_total")
         self._monitor.start_check()
         has_connected = await self._path_probe.connects_to_any()
         self._monitor.record_check(has_connected, model.now_ms())
--- a/tests/relay/test_pathmonitor.py
+++ b/tests/relay/test_pathmonitor.py
@@ -149,6 +149,9 @@
     assert host.monitor.is_check_due(350.0)
     host.end("t1", _OK, 400.0)
     assert not host.monitor.is_check_due(450.0)
+    host.monitor.record_check(True, 450.0)
+    assert not host.monitor.is_check_due(2_000.0)
+    assert host.monitor.is_check_due(2_500.0)
 
 
 def test_checks_become_rare_while_targets_are_silent_but_reachable():
