--- a/tests/entry/test_answers.py
+++ b/tests/entry/test_answers.py
@@ -42,6 +42,24 @@
                     await caller.get(host.url + "/read", headers=_HEADERS)
 
 
+@pytest.mark.parametrize("length", [9, 16, 19, 35, 36])
+async def test_answer_cut_within_its_head_is_no_success(tmp_path, length):
+    """Callers got a 200 with an empty body, framed as whole."""
+    head = b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n"
+
+    async def respond(stream, seen):
+        await stream.send(head[:length])
+        await stream.aclose()
+
+    async with (
+        harness.running(tmp_path, respond) as (host, _),
+        httpx.AsyncClient() as caller,
+    ):
+        response = await caller.get(host.url + "/read", headers=_HEADERS)
+    assert response.status_code == 502
+    assert response.headers["pomeloward-run"] == "unknown"
+
+
 async def test_answer_without_an_end_is_refused(tmp_path):
     """Guards against a body whose truncation nobody can see."""
 
