Guard again against suspicions that outlast a lost path

A new test ends orders in the cut, waits for the end of the loss and asks for more slots than targets without trust have. No code is changed.

--- a/tests/platform/test_pathloss.py
+++ b/tests/platform/test_pathloss.py
@@ -78,6 +78,11 @@
     return responses
 
 
+async def _answer_slowly(server, stream, request, headers):
+    await anyio.sleep(0.15)
+    await servers.answer(server, stream, request, headers)
+
+
 def _served_ratio(responses):
     return sum(one.status_code == 200 for one in responses) / len(responses)
 
@@ -110,14 +115,9 @@
     world, monkeypatch
 ):
     """They hung in broken connections until their callers gave up."""
-
-    async def answer_slowly(server, stream, request, headers):
-        await anyio.sleep(0.15)
-        await servers.answer(server, stream, request, headers)
-
     async with world.running(nodes=("n1", "n2"), names=_NAMES):
         cut = Cut(world, monkeypatch)
-        cut.behaviours = dict.fromkeys(_NAMES, answer_slowly)
+        cut.behaviours = dict.fromkeys(_NAMES, _answer_slowly)
         await _call(world, ("n1", "n2"), 2.0)
         responses = []
 
@@ -172,6 +172,32 @@
         assert _served_ratio(responses) >= 0.98
 
 
+async def test_targets_are_not_suspected_for_what_the_path_did(
+    world, monkeypatch
+):
+    """Orders that hung in the cut left all targets suspected behind it."""
+    async with world.running(nodes=("n1", "n2"), names=_NAMES):
+        cut = Cut(world, monkeypatch)
+        await _call(world, world.nodes, 0.5)
+        cut.begin("n1")
+        async with anyio.create_task_group() as calls:
+            for _ in range(12):
+                calls.start_soon(world.request, "POST", "/order/")
+        cut.behaviours = dict.fromkeys(_NAMES, _answer_slowly)
+        cut.end()
+        metrics_url = world.url("n1", "metrics") + "/metrics"
+        with anyio.fail_after(3):
+            while True:
+                text = (await world.client.get(metrics_url)).text
+                if "pomeloward_target_path_lost 0" in text:
+                    break
+                await anyio.sleep(0.02)
+        count = len(world.ran())
+        responses = await _call(world, ("n1",) * 4, 0.5, "POST", "/order/")
+        assert _served_ratio(responses) >= 0.98
+        assert len(world.ran()) - count == len(responses)
+
+
 async def test_request_is_not_quarantined_for_broken_paths(world, monkeypatch):
     """Connections that broke with the path counted as crashes of targets."""
     async with world.running(nodes=("n1",), names=_NAMES):
