Bound the factor of the interval between checks of the path

Found by reading the whole change: a host whose targets go on hanging would end after about half an hour.

Cause: each good check in a row doubled the factor of the interval. Only the product was bounded, so that after some thousand checks the whole number no longer fitted a float (OverflowError in the watcher's task).

Change: the factor itself is bounded, by the ratio of the longest to the shortest interval; intervals stay as they were.

--- a/src/pomeloward/relay/pathmonitor.py
+++ b/src/pomeloward/relay/pathmonitor.py
@@ -24,6 +24,7 @@
 _SILENCE_INTERVAL_MS = 200.0
 _CHECK_INTERVAL_MS = 500.0
 _MAX_INTERVAL_MS = 2_000.0
+_MAX_INTERVAL_FACTOR = _MAX_INTERVAL_MS / _SILENCE_INTERVAL_MS
 # Good checks in a row that end the loss.
 _REQUIRED_GOOD_CHECKS = 2
 # How long a check that another host's loss calls for may be put off by
@@ -79,7 +80,7 @@
         self._answered_at_ms = float("-inf")
         self._checked_at_ms = float("-inf")
         self._requested_until_ms = float("-inf")
-        self._interval_factor = 1
+        self._interval_factor = 1.0
         self._good_checks = 0
         self._check_ended: anyio.Event | None = None
 
@@ -157,7 +158,9 @@
         is_in_row = now_ms - self._checked_at_ms < 2 * _MAX_INTERVAL_MS
         has_path = has_connected and not self.is_lost
         self._interval_factor = (
-            2 * self._interval_factor if is_in_row and has_path else 1
+            min(_MAX_INTERVAL_FACTOR, 2 * self._interval_factor)
+            if is_in_row and has_path
+            else 1.0
         )
         self._checked_at_ms = now_ms
         self._requested_until_ms = float("-inf")
--- a/tests/relay/test_pathmonitor.py
+++ b/tests/relay/test_pathmonitor.py
@@ -174,3 +174,14 @@
         host.end(f"t{number}", _UNREACHABLE, 0.0)
     host.monitor.start_check()
     assert not host.monitor.is_check_due(0.0)
+
+
+def test_checks_go_on_for_hours_while_a_target_hangs():
+    """The interval overflowed, and the host ended."""
+    host = Host()
+    host.start("t0", 0.0)
+    for number in range(1, 2_000):
+        now_ms = 2_000.0 * number
+        assert host.monitor.is_check_due(now_ms)
+        host.monitor.start_check()
+        host.monitor.record_check(True, now_ms)
