--- a/review/lab.py
+++ b/review/lab.py
@@ -840,6 +840,9 @@
 
     async def play():
         lab = Lab(folder, host_counts)
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         try:
             async with asyncio.timeout(110):
                 return await case(lab)
@@ -851,7 +854,7 @@
         sys.exit(_FAULT_EXIT)
     try:
         is_broken = asyncio.run(play())
-    except Exception as error:  # noqa: BLE001
+    except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001
         say(f"the case couldn't run: {error!r}")
         sys.exit(_FAULT_EXIT)
     say("rule broken" if is_broken else "rule held")
