--- a/review/lab.py
+++ b/review/lab.py
@@ -286,6 +286,11 @@
         for writer in list(self._writers):
             abort(writer)
 
+    async def stop_listening(self):
+        """Leave the port to another process; the entry stays."""
+        self._listener.close()
+        await self._listener.wait_closed()
+
     async def heal(self):
         """End the cut."""
         self._listener = await asyncio.start_server(
