--- a/review/lab.py
+++ b/review/lab.py
@@ -226,11 +226,8 @@
         self.idle_s = 10.0
         self.port = lab.free_port()
         self.born_ms = int(time.time() * 1000)
-        self.cold_until_s = 0.0
-        self.has_store = True
         self.is_up = False
         self.work_s = lambda head: 0.02
-        self.sheds = lambda: False
         self.extra_headers = ()
         self.fields = fields
         self._sequence = itertools.count(1)
@@ -242,7 +239,6 @@
 
     def entry(self):
         """Return the entry that the server writes into the store."""
-        left_s = max(0.0, self.cold_until_s - now_s())
         return {
             "service": self.service,
             "address": f"127.0.0.1:{self.port}",
@@ -250,7 +246,7 @@
             "version": "v1",
             "max-concurrency": self.slots,
             "state": "ready",
-            "warmup-left-s": round(left_s, 3),
+            "warmup-left-s": 0,
             "sequence": next(self._sequence),
             "born": self.born_ms,
             **self.fields,
@@ -268,14 +264,6 @@
         if self._beats is None:
             self._beats = self.lab.spawn(self._write_entries())
 
-    async def crash(self):
-        """End at once: open connections are reset, new ones refused."""
-        self.is_up = False
-        self.lab.record.write(f"server {self.name} crashes")
-        self._listener.close()
-        for writer in list(self._writers):
-            abort(writer)
-
     async def cut_off(self):
         """Cut the server off: connections are reset, new ones refused.
 
@@ -286,11 +274,6 @@
         for writer in list(self._writers):
             abort(writer)
 
-    async def stop_listening(self):
-        """Leave the port to another process; the entry stays."""
-        self._listener.close()
-        await self._listener.wait_closed()
-
     async def heal(self):
         """End the cut."""
         self._listener = await asyncio.start_server(
@@ -298,17 +281,9 @@
         )
         self.lab.record.write(f"server {self.name} can be reached again")
 
-    async def restart(self, cold_s=0.0):
-        """Start again under the same id, with nothing of before."""
-        self.born_ms = int(time.time() * 1000)
-        self._sequence = itertools.count(1)
-        self.cold_until_s = now_s() + cold_s
-        await self.start()
-        self.write_entry()
-
     def write_entry(self):
         """Write the entry, unless the store is out of reach."""
-        if self.is_up and self.has_store and self.lab.store.mode == "open":
+        if self.is_up and self.lab.store.mode == "open":
             self.lab.store.put(f"servers/{self.name}", self.entry())
 
     async def _write_entries(self):
@@ -340,6 +315,10 @@
 
     async def _serve_one(self, head, body, writer, host):
         request_id = head.headers.get("x-request-id", "")
+        if head.target == "/health":
+            headers = [f"X-Instance-Id: {self.name}"]
+            writer.write(response(200, b"", headers, request_id))
+            return
         named = head.headers.get("x-target-instance", self.name)
         if named != self.name:
             writer.write(
@@ -359,7 +338,7 @@
             head.headers.get("x-tenant", ""),
         )
         self.lab.arrivals.append(arrival)
-        if is_full or self.sheds():
+        if is_full:
             self.lab.record.write(
                 f"server {self.name} rejects {request_id} from {host}"
             )
@@ -456,11 +435,6 @@
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
 
-    def last_lines(self, count=3):
-        """Return the last lines of the log."""
-        text = self._log_path.read_text(errors="replace")
-        return text.splitlines()[-count:]
-
 
 class Lab:
     """The deployment, its clients, and what they have seen."""
@@ -567,18 +541,6 @@
             return found.status == 200
         return False
 
-    async def resolve(self, host):
-        """Return the addresses that a host names to clients of its zone."""
-        address = (host.ip_address, self.ports["directory"])
-        found = await self.call(
-            address,
-            "GET",
-            f"/resolve?name={HOSTNAME}&region=home&zone={host.zone}",
-            {},
-            timeout_s=1,
-        )
-        return json.loads(found.body)["addresses"]
-
     async def call(
         self, address, method, target, headers, body=None, timeout_s=5.0
     ):
