--- a/review/lab.py
+++ b/review/lab.py
@@ -223,7 +223,7 @@
         self.zone = zone
         self.slots = slots
         self.queue = 8
-        self.idle_s = 10.0
+        self.idle_s = 10
         self.port = lab.free_port()
         self.born_ms = int(time.time() * 1000)
         self.is_up = False
