--- a/src/pomeloward/relay/targetprobe.py
+++ b/src/pomeloward/relay/targetprobe.py
@@ -31,7 +31,7 @@
                 stream = await anyio.connect_tcp(
                     address, int(port), local_host=self._local_address
                 )
-            except (OSError, ValueError):
+            except (OSError, ValueError, OverflowError):
                 return False
             await stream.aclose()
             return True
--- a/tests/platform/server.py
+++ b/tests/platform/server.py
@@ -1,6 +1,7 @@
 """A stand-in for a server behind the fleet, over plain sockets."""
 
 import contextlib
+import json
 
 import anyio
 import h11
@@ -44,6 +45,16 @@
             **fields,
         }
 
+    def entry_with(self, field, text):
+        """Return the entry as JSON with the text of one field's value."""
+        others = {
+            name: value
+            for name, value in self.entry().items()
+            if name != field
+        }
+        start = json.dumps(others).encode()[:-1]
+        return start + b', "%s": %s}' % (field.encode(), text)
+
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED):
         while True:
             listener = await anyio.create_tcp_listener(
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -65,6 +65,43 @@
         )
 
 
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("max-concurrency", 10**30),
+        ("max-concurrency", 10**9),
+        ("sequence", 2**63),
+        ("sequence", -1),
+        ("born", 2**63),
+        ("address", "10.0.0.1:65536"),
+        ("address", "10.0.0.1:0"),
+        ("address", "10.0.0.1:" + "9" * 5_000),
+        ("address", "10.0.0.1:\u0662"),
+        ("address", "somewhere:80"),
+        ("service", "s" * 10_000),
+        ("zone", "z" * 10_000),
+    ],
+)
+def test_target_entry_with_a_value_out_of_range_is_rejected(field, value):
+    """Later steps failed at numbers, ports and texts that were let in."""
+    with pytest.raises(model.ConfigurationError) as raised:
+        targetentry.decode_target_entry(
+            _TARGET_ID, _json_bytes({**_TARGET_ENTRY, field: value}), 1
+        )
+    assert len(str(raised.value)) < 300
+
+
+@pytest.mark.parametrize(
+    "target_id", ["", "i 1", "i\r\n1", "\u0662", "i" * 201]
+)
+def test_target_id_that_no_header_can_hold_is_rejected(target_id):
+    """Each request to such a target failed with an internal error."""
+    with pytest.raises(model.ConfigurationError):
+        targetentry.decode_target_entry(
+            model.TargetId(target_id), _json_bytes(_TARGET_ENTRY), 1
+        )
+
+
 @given(_JSON_VALUES | st.binary())
 def test_arbitrary_payloads_raise_only_configuration_errors(value):
     payload = value if isinstance(value, bytes) else _json_bytes(value)
--- a/tests/platform/test_storechanges.py
+++ b/tests/platform/test_storechanges.py
@@ -68,6 +68,34 @@
             assert (await world.get("/safe/")).status_code == 200
 
 
+@pytest.mark.parametrize(
+    ("field", "text"),
+    [
+        ("max-concurrency", b"1" + b"0" * 30),
+        ("sequence", b"1" + b"0" * 30),
+        ("born", b"-1"),
+        ("address", b'"127.0.0.1:99999"'),
+        ("zone", b"[" * 100_000 + b"]" * 100_000),
+    ],
+)
+async def test_odd_entry_neither_ends_hosts_nor_stops_their_reads(
+    world, field, text
+):
+    """A host ended each time it read a number over 64 bits."""
+    async with world.running():
+        world.store.put(
+            "servers/odd", world.servers["s1"].entry_with(field, text)
+        )
+        await anyio.sleep(1.0)
+        for _ in range(4):
+            assert (await world.get("/safe/")).status_code == 200
+        await world.add_server("s3")
+        world.store.delete("servers/s1")
+        world.store.delete("servers/s2")
+        await anyio.sleep(1.5)
+        assert (await world.get("/safe/")).text.startswith("s3")
+
+
 async def test_requests_are_served_while_the_store_does_not_answer(world):
     async with world.running():
         world.store.is_silent = True
