Send configurations that don't fit in one message in parts

Callers with a withdrawn key were still served, and those with its successor got 401, at most hosts of a zone until the configuration changed again.

Cause: only the first four hosts of a zone read the store. The others get each change in one message, and the limit of a message (1 MiB) is smaller than what the layer above may send: a key of 23 bytes in the store is a digest of 34 bytes there, so that a value of 886 kB became a message of 1.5 MB.

Change: a policy over 512 KiB is offered instead of sent. The receiver asks for parts of 64 KiB, one after the other, so that queues and heartbeats don't wait behind the whole. Hosts of the earlier release ignore offers, as they ignored what was dropped.

Ruled out: a larger limit of a message. Heartbeats would wait for it on slow links, and the next limit is a matter of time.

--- a/src/pomeloward/replica/__init__.py
+++ b/src/pomeloward/replica/__init__.py
@@ -6,6 +6,9 @@
 from pomeloward.replica.change import TargetRemoval as TargetRemoval
 from pomeloward.replica.change import ZoneChange as ZoneChange
 from pomeloward.replica.messages import ChangeNotice as ChangeNotice
+from pomeloward.replica.messages import PolicyOffer as PolicyOffer
+from pomeloward.replica.messages import PolicyPart as PolicyPart
+from pomeloward.replica.messages import PolicyPartRequest as PolicyPartRequest
 from pomeloward.replica.messages import SnapshotRequest as SnapshotRequest
 from pomeloward.replica.messages import SnapshotResponse as SnapshotResponse
 from pomeloward.replica.readresult import ReadResult as ReadResult
--- a/src/pomeloward/replica/replicator.py
+++ b/src/pomeloward/replica/replicator.py
@@ -9,12 +9,15 @@
 from pomeloward import peer
 from pomeloward.replica import change as changes
 from pomeloward.replica import messages
+from pomeloward.replica import policytransfer
 from pomeloward.replica import replica as replicas
 
 # A response takes a round trip and, for a large configuration, some ten ms.
 _SNAPSHOT_TIMEOUT_MS = 600.0
 # When digests differ, the missing changes are usually on their way.
 _MAX_DIVERGENCE_MS = 300.0
+# So many changes fit in a message, whose size is limited.
+_MAX_CHANGES = 500
 
 ChangesCallback = collections.abc.Callable[[tuple[changes.Change, ...]], None]
 
@@ -24,6 +27,7 @@
 
     Every host forwards a change that is new to it to its own contacts, so
     that changes cross the zones on the few links between their first hosts.
+    What doesn't fit in one message goes in several.
     """
 
     def __init__(
@@ -47,6 +51,11 @@
         self._diverged_since_ms: dict[model.HostId, float] = {}
         self._snapshot_host: model.HostId | None = None
         self._fetch_requested = anyio.Event()
+        self._policy_transfer = policytransfer.PolicyTransfer(
+            replica,
+            peers,
+            lambda change, host: self.merge_and_forward([change], host),
+        )
         peers.register_handler(
             messages.ChangeNotice, self._handle_change_notice
         )
@@ -63,11 +72,11 @@
         new_changes = self._replica.merge(received)
         if not new_changes:
             return
+        notices = self._make_notices(new_changes)
         for host in self._list_contacts():
             if host != sender:
-                self._peers.notify(
-                    host, messages.ChangeNotice(changes=new_changes)
-                )
+                for notice in notices:
+                    self._peers.notify(host, notice)
         self._on_changes(new_changes)
 
     def is_in_sync_with(
@@ -90,7 +99,12 @@
         return False
 
     async def run(self) -> None:
-        """Fetch the snapshots that are requested, until cancelled."""
+        """Fetch snapshots and large policies, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._policy_transfer.run)
+            await self._fetch_requested_snapshots()
+
+    async def _fetch_requested_snapshots(self) -> None:
         while True:
             await self._fetch_requested.wait()
             self._fetch_requested = anyio.Event()
@@ -121,6 +135,31 @@
     def _handle_snapshot_request(
         self, host: model.HostId, message: peer.Message, now_ms: float
     ) -> peer.Message:
-        return messages.SnapshotResponse(
-            changes=self._replica.newest_changes()
-        )
+        response = messages.SnapshotResponse(changes=())
+        for notice in self._make_notices(self._replica.newest_changes()):
+            if isinstance(notice, messages.ChangeNotice) and (
+                not response.changes
+            ):
+                response = messages.SnapshotResponse(changes=notice.changes)
+            else:
+                self._peers.notify(host, notice)
+        return response
+
+    def _make_notices(
+        self, notified: collections.abc.Iterable[changes.Change]
+    ) -> list[peer.Message]:
+        """Return the messages that tell another host of changes."""
+        offers: list[peer.Message] = []
+        inline: list[changes.Change] = []
+        for change in notified:
+            offer = self._policy_transfer.find_offer(change)
+            if offer is None:
+                inline.append(change)
+            else:
+                offers.append(offer)
+        return offers + [
+            messages.ChangeNotice(
+                changes=tuple(inline[start : start + _MAX_CHANGES])
+            )
+            for start in range(0, len(inline), _MAX_CHANGES)
+        ]
