Follow versions of the configuration that exceed 64 bits

All hosts ended again and again from the moment of one new version on, and hardly a request was served.

Cause: a version may have any number of digits, and the replica's digest was made with an encoding whose integers end at 64 bits. The error ended the process, and the version was there again when it came back. Log lines of such a version would have been lost as well, since their JSON has the same limit.

Tests before the fix: OverflowError in the replica and in a fleet of two hosts.

Change: the digest takes the digits of a version over 64 bits; for others it is as before, so that hosts of two releases agree. Log lines have it as text. The adapter takes versions of up to 4,000 digits, which the runtime can convert; what isn't digits is refused before the conversion.

Measured: the new tests pass, with 20 and with 4,000 digits on two hosts.

Ruled out: integers of any size in messages between hosts.

--- a/src/pomeloward/edge/edgeserver.py
+++ b/src/pomeloward/edge/edgeserver.py
@@ -12,6 +12,7 @@
 
 from pomeloward import fleet
 from pomeloward import model
+from pomeloward import observability
 from pomeloward import relay
 from pomeloward import replica
 from pomeloward import settings
@@ -365,5 +366,8 @@
     gc.set_threshold(*_GC_THRESHOLDS)
     components.heartbeats.set_state(fleet.MemberState.READY)
     eliot.log_message(
-        message_type="ready", version=components.replica.policy.version
+        message_type="ready",
+        version=observability.loggable_integer(
+            components.replica.policy.version
+        ),
     )
--- a/src/pomeloward/edge/logevents.py
+++ b/src/pomeloward/edge/logevents.py
@@ -4,6 +4,7 @@
 
 from pomeloward import balance
 from pomeloward import model
+from pomeloward import observability
 from pomeloward import replica
 
 
@@ -80,7 +81,7 @@
     if isinstance(change, replica.PolicyChange):
         eliot.log_message(
             message_type="configuration",
-            version=change.policy.version,
+            version=observability.loggable_integer(change.policy.version),
             **position,
         )
     elif isinstance(change, replica.TargetChange):
--- a/src/pomeloward/observability/__init__.py
+++ b/src/pomeloward/observability/__init__.py
@@ -13,6 +13,9 @@
     configure_log_output as configure_log_output,
 )
 from pomeloward.observability.eventlogger import EventLogger as EventLogger
+from pomeloward.observability.loggableinteger import (
+    loggable_integer as loggable_integer,
+)
 from pomeloward.observability.mergedlatency import (
     MergedLatency as MergedLatency,
 )
--- a/src/pomeloward/platform/configuration.py
+++ b/src/pomeloward/platform/configuration.py
@@ -1,5 +1,6 @@
 """Decodes the operators' configuration from the platform's store."""
 
+import re
 import typing
 
 import msgspec
@@ -84,6 +85,9 @@
 
 
 _DECODER = msgspec.json.Decoder(_Configuration)
+# The runtime converts texts of up to 4,300 digits.
+_VERSION = re.compile(r"r([0-9]{1,4000})")
+_MAX_QUOTED = 40
 _DEFAULT_TIMEOUT_S = 30.0
 _DEFAULT_TARGET_LATENCY_S = 1.0
 _LOWEST_PRIORITY = 9
@@ -127,9 +131,12 @@
 
 
 def _parse_version(text: str) -> model.Version:
-    if not text.startswith("r") or not text[1:].isdigit():
-        raise ValueError(f"version {text!r} is not r and a number")
-    return model.Version(int(text[1:]))
+    found = _VERSION.fullmatch(text)
+    if found is None:
+        raise ValueError(
+            f"version {text[:_MAX_QUOTED]!r} is not r and a number"
+        )
+    return model.Version(int(found.group(1)))
 
 
 def _convert_rows(table: _Table, row_type: type[_Row]) -> list[_Row]:
--- a/src/pomeloward/relay/application.py
+++ b/src/pomeloward/relay/application.py
@@ -290,7 +290,9 @@
             team=log_entry.team_id,
             service=log_entry.service_id,
             fingerprint=log_entry.fingerprint,
-            version=log_entry.configuration_version,
+            version=observability.loggable_integer(
+                log_entry.configuration_version
+            ),
             attempts=log_entry.attempts,
         )
 
--- a/src/pomeloward/replica/replica.py
+++ b/src/pomeloward/replica/replica.py
@@ -13,6 +13,7 @@
 from pomeloward.replica import target as targets
 
 _ENCODER = msgspec.msgpack.Encoder()
+_MAX_PACKED_INTEGER = 2**64 - 1
 
 
 class Replica:
@@ -147,7 +148,12 @@
     host that never knew the target or zone has the same digest.
     """
     if isinstance(change, changes.PolicyChange):
-        content: object = ("policy", change.policy.version)
+        version = change.policy.version
+        # MessagePack has no integers over 64 bits.
+        content: object = (
+            "policy",
+            version if version <= _MAX_PACKED_INTEGER else str(version),
+        )
     elif isinstance(change, changes.TargetChange):
         content = ("target", change.target)
     elif isinstance(change, changes.TargetRemoval):
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -131,6 +131,18 @@
     assert decoded_policy.limits.header_bytes == 16_384
 
 
+@pytest.mark.parametrize(
+    "text", ["r", "r-1", "r1.0", "r\u0662", "12", "r" + "1" * 4_001]
+)
+def test_version_that_is_not_a_number_is_rejected(text):
+    """A text was let in, or failed in the conversion to an integer."""
+    with pytest.raises(model.ConfigurationError) as raised:
+        configuration.decode_configuration(
+            _json_bytes({**fleet.configuration(3), "version": text})
+        )
+    assert len(str(raised.value)) < 200
+
+
 def test_weighted_backends_replace_the_service():
     configuration_fields = fleet.configuration(3)
     routes = configuration_fields["routes"]
--- a/tests/platform/test_logs.py
+++ b/tests/platform/test_logs.py
@@ -1,39 +1,22 @@
 """Tests of log lines on requests, the store and settings."""
 
-import contextlib
-
 import anyio
-import eliot
 import pytest
 
+from tests.platform import log
 from tests.platform import server as servers
 
 pytestmark = pytest.mark.anyio
 
 
-@contextlib.contextmanager
-def _captured_lines():
-    """Yield a list that receives the log lines of all hosts."""
-    lines = []
-    eliot.add_destinations(lines.append)
-    try:
-        yield lines
-    finally:
-        eliot.remove_destination(lines.append)
-
-
-def _lines_of_type(lines, message_type):
-    return [line for line in lines if line["message_type"] == message_type]
-
-
 async def test_request_line_names_the_target_that_timed_out(world):
-    with _captured_lines() as lines:
+    with log.captured_lines() as lines:
         async with world.running(names=("s1",)):
             world.servers["s1"].behave = servers.hang
             response = await world.request("POST", "/order/")
     (line,) = [
         line
-        for line in _lines_of_type(lines, "request")
+        for line in log.lines_of_type(lines, "request")
         if line["request"] == response.headers["x-request-id"]
     ]
     assert line["status"] == 504
@@ -45,14 +28,14 @@
     (attempt,) = line["attempts"]
     # Target, reason for selecting it, outcome and start of the duration.
     assert attempt.startswith("s1 near silent 1")
-    suspected = _lines_of_type(lines, "target:suspected")
+    suspected = log.lines_of_type(lines, "target:suspected")
     assert [(line["target"], line["reason"]) for line in suspected] == [
         ("s1", "silent")
     ]
 
 
 async def test_lines_tell_when_a_target_limits_its_rate(world):
-    with _captured_lines() as lines:
+    with log.captured_lines() as lines:
         async with world.running(names=("s1",)):
             for behavior in (
                 servers.limited("2.5"),
@@ -64,14 +47,14 @@
                 await world.get("/safe/")
     assert [
         (line["target"], line["limit_per_s"], line["source"])
-        for line in _lines_of_type(lines, "target:limit")
+        for line in log.lines_of_type(lines, "target:limit")
     ] == [("s1", 2.5, "answer"), ("s1", None, "answer")]
-    (unreadable,) = _lines_of_type(lines, "target:limit_unreadable")
+    (unreadable,) = log.lines_of_type(lines, "target:limit_unreadable")
     assert unreadable["text"] == "many"
 
 
 async def test_log_lines_contain_no_api_keys(world):
-    with _captured_lines() as lines:
+    with log.captured_lines() as lines:
         async with world.running():
             await world.get("/safe/")
             await world.get("/safe/", key="some-unknown-key")
@@ -80,18 +63,18 @@
 
 
 async def test_loss_and_return_of_the_store_are_logged_once_each(world):
-    with _captured_lines() as lines:
+    with log.captured_lines() as lines:
         async with world.running():
             world.store.is_away = True
             await anyio.sleep(2.5)
             world.store.is_away = False
             await anyio.sleep(2.5)
-    assert len(_lines_of_type(lines, "store:lost")) == 1
-    assert len(_lines_of_type(lines, "store:regained")) == 1
+    assert len(log.lines_of_type(lines, "store:lost")) == 1
+    assert len(log.lines_of_type(lines, "store:regained")) == 1
 
 
 async def test_changed_settings_file_is_reloaded_without_a_signal(world):
-    with _captured_lines() as lines:
+    with log.captured_lines() as lines:
         async with world.running(nodes=("n1", "n2")):
             path = world.settings_path("n1")
             valid_text = path.read_text()
@@ -100,15 +83,15 @@
             path.write_text(valid_text.replace("bootstrap = true", ""))
             await anyio.sleep(1.3)
             assert (await world.get("/safe/")).status_code == 200
-    assert _lines_of_type(lines, "reload:rejected")
-    (reload_line,) = _lines_of_type(lines, "reload")
+    assert log.lines_of_type(lines, "reload:rejected")
+    (reload_line,) = log.lines_of_type(lines, "reload")
     assert reload_line["changed"] == ["is_first_start"]
     assert reload_line["needs_restart"] == []
 
 
 async def test_reload_names_settings_that_need_a_restart(world):
     """Guards against a changed store address that is reported as in use."""
-    with _captured_lines() as lines:
+    with log.captured_lines() as lines:
         async with world.running():
             path = world.settings_path("n1")
             changed_text = path.read_text().replace(
@@ -117,17 +100,17 @@
             )
             path.write_text(changed_text)
             await anyio.sleep(1.3)
-    (reload_line,) = _lines_of_type(lines, "reload")
+    (reload_line,) = log.lines_of_type(lines, "reload")
     assert reload_line["needs_restart"] == ["store"]
 
 
 async def test_lines_name_the_stores_own_revisions(world):
     """A number that the store never gave out can't be found there."""
-    with _captured_lines() as lines:
+    with log.captured_lines() as lines:
         async with world.running():
             revisions = {
                 item["key"]: item["revision"]
                 for item in world.store.items.values()
             }
-    (line,) = _lines_of_type(lines, "configuration")
+    (line,) = log.lines_of_type(lines, "configuration")
     assert (line["era"], line["revision"]) == (1, revisions["op/config"])
--- a/tests/platform/test_storechanges.py
+++ b/tests/platform/test_storechanges.py
@@ -4,6 +4,7 @@
 import pytest
 
 from tests.platform import fleet
+from tests.platform import log
 
 pytestmark = pytest.mark.anyio
 
@@ -96,6 +97,28 @@
         assert (await world.get("/safe/")).text.startswith("s3")
 
 
+@pytest.mark.parametrize("digits", [20, 4_000])
+async def test_version_of_many_digits_takes_effect_on_all_hosts(world, digits):
+    """A host ended each time it read a version over 64 bits."""
+    async with world.running(nodes=("n1", "n2")):
+        version = 10 ** (digits - 1)
+        with log.captured_lines() as lines:
+            world.store.put(
+                "op/config", fleet.configuration(version, tenants=[])
+            )
+            await anyio.sleep(1.8)
+            for node in ("n1", "n2"):
+                response = await world.get("/safe/", node=node, key=None)
+                assert response.status_code == 200
+        requests = log.lines_of_type(lines, "request")
+        assert {line["version"][:20] for line in requests} == {f"1{0:019}"}
+        world.store.put("op/config", fleet.configuration(version + 1))
+        await anyio.sleep(1.8)
+        for node in ("n1", "n2"):
+            response = await world.get("/safe/", node=node, key=None)
+            assert response.status_code == 401
+
+
 async def test_requests_are_served_while_the_store_does_not_answer(world):
     async with world.running():
         world.store.is_silent = True
--- a/tests/replica/test_policytransfer.py
+++ b/tests/replica/test_policytransfer.py
@@ -101,6 +101,7 @@
     [
         _make_large_change(2),
         samples.make_policy_change(2, 2**63),
+        samples.make_policy_change(2, 10**3_999),
     ],
 )
 def test_policy_larger_than_a_message_reaches_a_host_that_does_not_read(
--- a/tests/replica/test_replica.py
+++ b/tests/replica/test_replica.py
@@ -72,6 +72,21 @@
     assert merged.policy.version == 7
 
 
+def test_versions_over_64_bits_are_compared_as_numbers():
+    """Guards against an error at a version that is too large to be hashed."""
+    host, other = replica.Replica(), replica.Replica()
+    digests = set()
+    for version in (2**64 - 1, 2**64, 10**20, 10**20 + 1, 10**3_999):
+        change = samples.make_policy_change(1, version)
+        assert host.merge([change]) == (change,)
+        assert host.policy.version == version
+        digests.add(host.digest)
+    assert len(digests) == 5
+    assert other.merge([samples.make_policy_change(9, 10**3_999)])
+    assert other.digest == host.digest
+    assert host.merge([samples.make_policy_change(9, 2**64)]) == ()
+
+
 def test_digest_after_a_removal_is_that_of_a_host_without_the_target():
     after_removal, empty = replica.Replica(), replica.Replica()
     after_removal.merge([replica.TargetChange(1, samples.make_target())])
