Let no error of a background task end the process

Callers lost a host, with all its connections, for an error that concerned one entry of the store: nothing between the read and the process handled an error that nobody had foreseen.

Cause: all background tasks of a host ran in one task group, which ends with the first error of any of them.

An error in the regular tick is logged, and one in a connection to a peer ends that connection only.

Evidence: a fleet whose replica raises an error at an entry ended before ("not foreseen" out of the host's run) and serves now, and follows the store again once the entry is gone.

Not changed: errors at the start of a host (addresses in use, settings) still end it, since it can do nothing without them.

--- a/src/pomeloward/edge/edgeserver.py
+++ b/src/pomeloward/edge/edgeserver.py
@@ -4,7 +4,6 @@
 import gc
 import signal
 import time
-import typing
 
 import anyio
 import eliot
@@ -23,6 +22,7 @@
 from pomeloward.edge import looplag
 from pomeloward.edge import requestrate
 from pomeloward.edge import shutdownschedule
+from pomeloward.edge import supervisor
 
 # With the default threshold of 700, a garbage collection starts during about
 # every tenth request. The objects of the startup are excluded from all
@@ -48,9 +48,6 @@
 )
 
 SettingsLoader = collections.abc.Callable[[], settings.EdgeSettings]
-BackgroundTask = collections.abc.Callable[
-    [], collections.abc.Coroutine[typing.Any, typing.Any, None]
-]
 
 
 class EdgeServer:
@@ -200,18 +197,18 @@
     ) -> None:
         """Run listeners and background tasks until the shutdown has ended."""
         host_settings = self._settings
-        background_tasks: tuple[BackgroundTask, ...] = (
-            components.store_poller.run,
-            components.replicator.run,
-            components.heartbeats.run,
-            components.fleet_sync.run,
-            components.slot_allocator.run,
-            components.target_links.run,
-            components.peer_links.run,
-            components.path_watcher.run,
-            self._handle_signals,
-            self._poll_settings,
-        )
+        background_tasks: dict[str, supervisor.BackgroundTask] = {
+            "store_poller": components.store_poller.run,
+            "replicator": components.replicator.run,
+            "heartbeats": components.heartbeats.run,
+            "fleet_sync": components.fleet_sync.run,
+            "slot_allocator": components.slot_allocator.run,
+            "target_links": components.target_links.run,
+            "peer_links": components.peer_links.run,
+            "path_watcher": components.path_watcher.run,
+            "signals": self._handle_signals,
+            "settings": self._poll_settings,
+        }
         async with anyio.create_task_group() as task_group:
             await task_group.start(
                 components.peers.run,
@@ -220,8 +217,8 @@
             )
             for listener in listeners:
                 await listener.start()
-            for background_task in background_tasks:
-                task_group.start_soon(background_task)
+            for name, task in background_tasks.items():
+                task_group.start_soon(supervisor.run_supervised, name, task)
             await self._tick_until_shutdown(components)
             task_group.cancel_scope.cancel()
 
@@ -240,7 +237,6 @@
             else:
                 await anyio.sleep(interval_s)
             now_ms = model.now_ms()
-            _set_ready_if_configured(components)
             request_rate.update_mean(
                 components.open_requests.started_count,
                 max(interval_s, (now_ms - sleep_started_ms) / 1_000),
@@ -248,9 +244,13 @@
             lag_monitor.record_delay(
                 now_ms - sleep_started_ms - interval_s * 1_000, now_ms
             )
-            self._publish_load_and_capacity(
-                components, request_rate, lag_monitor, now_ms
-            )
+            try:
+                _set_ready_if_configured(components)
+                self._publish_load_and_capacity(
+                    components, request_rate, lag_monitor, now_ms
+                )
+            except Exception as error:  # noqa: BLE001
+                supervisor.log_task_failure("tick", error)
             if self._shutdown is None:
                 continue
             if self._shutdown.refuses_long_requests(now_ms):
--- a/src/pomeloward/peer/dialer.py
+++ b/src/pomeloward/peer/dialer.py
@@ -87,6 +87,10 @@
             model.PeerProtocolError,
         ) as error:
             return f"{type(error).__name__}: {error}"
+        # An error with one peer must not end the connections to the others.
+        except Exception as error:  # noqa: BLE001
+            eliot.write_traceback()
+            return f"internal error: {type(error).__name__}"
 
     async def _run_connection(self, ip_address: str, port: int) -> str:
         async with client.connect(
--- a/tests/platform/test_storechanges.py
+++ b/tests/platform/test_storechanges.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from pomeloward import replica
 from tests.platform import fleet
 from tests.platform import log
 
@@ -97,6 +98,32 @@
         assert (await world.get("/safe/")).text.startswith("s3")
 
 
+async def test_host_outlives_an_error_while_it_follows_the_store(
+    world, monkeypatch
+):
+    """A host ended for each error that its reads of the store met."""
+    merge = replica.Replica.merge
+
+    def fail_at_odd_targets(self, received):
+        if any("odd" in change.key for change in received):
+            raise RuntimeError("not foreseen")
+        return merge(self, received)
+
+    monkeypatch.setattr(replica.Replica, "merge", fail_at_odd_targets)
+    async with world.running(nodes=("n1", "n2")):
+        world.store.put("servers/odd", world.servers["s1"].entry())
+        await anyio.sleep(1.0)
+        for node in ("n1", "n2"):
+            assert (await world.get("/safe/", node=node)).status_code == 200
+        world.store.delete("servers/odd")
+        monkeypatch.undo()
+        world.store.put("op/config", fleet.configuration(2, tenants=[]))
+        await anyio.sleep(1.8)
+        for node in ("n1", "n2"):
+            response = await world.get("/safe/", node=node, key=None)
+            assert response.status_code == 200
+
+
 @pytest.mark.parametrize("digits", [20, 4_000])
 async def test_version_of_many_digits_takes_effect_on_all_hosts(world, digits):
     """A host ended each time it read a version over 64 bits."""
