Read the store on a host that its peers can't update

Change: a host reads the store itself once a peer has a state that differs and is 1.5 s newer than its own, at most every 10 s. Hosts of two releases may differ for good, which a read doesn't change.

Evidence: the new test of the schedule fails on the code before (record_differing_state is new; such a host was due at no time). A difference of less than a second still leads to no read.

--- a/src/pomeloward/edge/hostcomponents.py
+++ b/src/pomeloward/edge/hostcomponents.py
@@ -271,11 +271,12 @@
         """
         if heartbeat.fresh_age_ms < 0:
             return
+        read_at_ms = now_ms - heartbeat.fresh_age_ms
         if self.replicator.is_in_sync_with(sender, heartbeat.digest, now_ms):
             # The age of a different state says nothing about this one.
-            self._read_schedule.record_state_read_at(
-                now_ms - heartbeat.fresh_age_ms
-            )
+            self._read_schedule.record_state_read_at(read_at_ms)
+        else:
+            self._read_schedule.record_differing_state(read_at_ms)
 
     def _handle_target_notice(
         self, target_id: model.TargetId, notice: balance.TargetNotice
--- a/src/pomeloward/replica/readschedule.py
+++ b/src/pomeloward/replica/readschedule.py
@@ -11,8 +11,12 @@
 # A host that has just started waits this long for a first heartbeat. Seeds
 # answer within a few tenths of a second.
 FIRST_CONTACT_MS = 700.0
-# Hosts after these in the order read only while they hear no other host.
+# Hosts after these in the order usually get the state from their peers.
 READERS_PER_ZONE = 4
+# They read once the state that their peers have is so much newer.
+MAX_LAG_MS = 1_500.0
+# Peers of another release may stay different, which a read doesn't change.
+_CATCH_UP_INTERVAL_MS = 10_000.0
 # The limit of the exponential backoff between failed reads.
 MAX_BACKOFF_MS = 1_500.0
 INITIAL_BACKOFF_MS = 250.0
@@ -44,6 +48,9 @@
         self._is_first_start = is_first_start
         self._earliest_read_ms = now_ms
         self._consecutive_failures = 0
+        # When a peer with another state read it from the store.
+        self._differing_read_at_ms = float("-inf")
+        self._next_catch_up_ms = now_ms
 
     def state_age_ms(self, now_ms: float) -> float | None:
         """Return the age of the newest known state, None if not known.
@@ -62,6 +69,12 @@
         """
         self.state_read_at_ms = max(self.state_read_at_ms, read_at_ms)
 
+    def record_differing_state(self, read_at_ms: float) -> None:
+        """Record when a peer read a state that differs from this host's."""
+        self._differing_read_at_ms = max(
+            self._differing_read_at_ms, read_at_ms
+        )
+
     def is_due(self, now_ms: float, rank: int, has_peers: bool = True) -> bool:
         """Return whether this host should read the store now.
 
@@ -77,7 +90,7 @@
         later.
         """
         if rank >= READERS_PER_ZONE and has_peers:
-            return math.inf
+            return self._catch_up_due_at_ms()
         takeover_ms = TAKEOVER_DELAY_MS * min(rank, READERS_PER_ZONE)
         if self._is_first_start and math.isinf(self.state_read_at_ms):
             # Many hosts start together, and all of them are the first of
@@ -89,6 +102,16 @@
             due_ms = self.state_read_at_ms + POLL_INTERVAL_MS + takeover_ms
         return max(self._earliest_read_ms, due_ms)
 
+    def _catch_up_due_at_ms(self) -> float:
+        """Return when a host reads that its peers should have told the state.
+
+        That is the case if messages with a change do not get through.
+        """
+        known_ms = max(self.state_read_at_ms, self._started_ms)
+        if self._differing_read_at_ms - known_ms <= MAX_LAG_MS:
+            return math.inf
+        return max(self._earliest_read_ms, self._next_catch_up_ms)
+
     def record_start(self, now_ms: float) -> None:
         """Record the start of a read, which delays the next one."""
         self._earliest_read_ms = now_ms + INITIAL_BACKOFF_MS
@@ -99,6 +122,7 @@
         The state that it returned is at least as new as its start.
         """
         self._consecutive_failures = 0
+        self._next_catch_up_ms = now_ms + _CATCH_UP_INTERVAL_MS
         self._earliest_read_ms = now_ms
         self.record_state_read_at(started_ms)
 
--- a/tests/replica/test_readschedule.py
+++ b/tests/replica/test_readschedule.py
@@ -73,6 +73,32 @@
     assert schedule.due_at_ms(rank, has_peers=False) < float("inf")
 
 
+def test_host_that_its_peers_cannot_update_reads_itself():
+    """Hosts kept an old configuration whose successor no message carried."""
+    schedule = replica.ReadSchedule(0.0)
+    schedule.record_state_read_at(500.0)
+    reads_ms = []
+    for now_ms in range(1_000, 31_000, 50):
+        schedule.record_differing_state(now_ms - 300.0)
+        if schedule.is_due(now_ms, 4):
+            schedule.record_start(now_ms)
+            schedule.record_success(now_ms, now_ms + 4)
+            reads_ms.append(now_ms)
+    assert 2_000 < reads_ms[0] <= 2_400
+    # Peers that differ after a read are not followed more often.
+    assert len(reads_ms) == 3
+
+
+def test_host_in_sync_does_not_read_for_a_short_difference():
+    schedule = replica.ReadSchedule(0.0)
+    for now_ms in range(0, 10_000, 100):
+        if now_ms % 1_000 < 800:
+            schedule.record_differing_state(now_ms - 200.0)
+        else:
+            schedule.record_state_read_at(now_ms - 200.0)
+        assert not schedule.is_due(now_ms, 4)
+
+
 def test_hosts_that_start_together_read_once_a_zone():
     """All hosts of a fleet read everything at their start.
 
