Bound reads of the store by silence and size instead of 0.7 s in all

Hosts on a slow link never got a large configuration from the store: a value of 1 MiB is 1.4 MB on the wire, which takes 2.3 s at 5 Mbit/s, and a read was given up after 0.7 s in all, again and again.

Change: a connection is given up after 0.7 s of silence, and a response after 6 s or 32 MiB. An era of the store out of range is refused, since revisions of 64 bits are made of it.

--- a/src/pomeloward/platform/httpstoreclient.py
+++ b/src/pomeloward/platform/httpstoreclient.py
@@ -21,7 +21,12 @@
 _SNAPSHOT_PREFIXES = ("op/", _TARGETS_PREFIX)
 # The store answers in 4 ms, or in 250 ms when it is slow; a connection that
 # is silent for longer than this timeout is given up.
-_REQUEST_TIMEOUT_MS = 700.0
+_SILENCE_TIMEOUT_S = 0.7
+# A page with the largest value takes seconds on a host's slowest link.
+_RESPONSE_TIMEOUT_S = 6.0
+_MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+# Larger numbers don't leave room for the store's own revision.
+_MAX_ERA = 2**22
 # A watch that waits only this long returns at once, with the changes that
 # were made since the given revision.
 _WATCH_WAIT_MS = 1
@@ -136,13 +141,9 @@
         decoder: msgspec.json.Decoder[_T],
     ) -> tuple[_T, int]:
         """Return the decoded response to a GET request and the store's era."""
-        if self._client is None:
-            self._client = httpx.AsyncClient(trust_env=False, timeout=None)
         try:
-            with anyio.fail_after(_REQUEST_TIMEOUT_MS / 1_000):
-                response = await self._client.get(
-                    self._url + path, params=query
-                )
+            with anyio.fail_after(_RESPONSE_TIMEOUT_S):
+                response, body = await self._get(path, query)
         except (httpx.HTTPError, TimeoutError) as error:
             raise model.PlatformUnavailable(
                 f"request to {path} failed: {type(error).__name__}"
@@ -155,7 +156,9 @@
             )
         try:
             era = int(response.headers.get(_ERA_HEADER, "0"))
-            return decoder.decode(response.content), era
+            if not 0 <= era <= _MAX_ERA:
+                raise ValueError(f"era {era} is out of range")
+            return decoder.decode(body), era
         except (
             msgspec.MsgspecError,
             UnicodeError,
@@ -166,6 +169,27 @@
                 f"invalid response from {path}: {error}"
             ) from error
 
+    async def _get(
+        self, path: str, query: dict[str, str]
+    ) -> tuple[httpx.Response, bytes]:
+        """Return the response to a GET request, and its body."""
+        if self._client is None:
+            self._client = httpx.AsyncClient(
+                trust_env=False, timeout=_SILENCE_TIMEOUT_S
+            )
+        body = bytearray()
+        async with self._client.stream(
+            "GET", self._url + path, params=query
+        ) as response:
+            async for chunk in response.aiter_bytes():
+                body += chunk
+                if len(body) > _MAX_RESPONSE_BYTES:
+                    raise model.PlatformUnavailable(
+                        f"response to {path} is over {_MAX_RESPONSE_BYTES}"
+                        " bytes"
+                    )
+        return response, bytes(body)
+
 
 def _decode_changes(
     items: list[_Item], era: int
