Bound the numbers of a configuration

With a timeout of 1e308 s each request would have failed: the milliseconds are infinite, and no header can hold them. Weights of that size had an infinite sum, and integers over 64 bits can't be sent to other hosts.

Change: the adapter puts bounds on times, rates, counts and priorities. A value beyond one has its effect; the configuration stays valid.

Evidence: five new cases of decoding failed before and pass now.

--- a/src/pomeloward/platform/configuration.py
+++ b/src/pomeloward/platform/configuration.py
@@ -9,6 +9,7 @@
 from pomeloward import policy as policies
 
 _Row = typing.TypeVar("_Row")
+_Number = typing.TypeVar("_Number", int, float)
 # Longer than the pauses on a connection that its caller still uses.
 _DEFAULT_CALLER_TIMEOUT_S = 120.0
 
@@ -88,6 +89,13 @@
 # The runtime converts texts of up to 4,300 digits.
 _VERSION = re.compile(r"r([0-9]{1,4000})")
 _MAX_QUOTED = 40
+# Values beyond these bounds have the effect of the bound. The store has
+# accepted them, so that they don't make the configuration invalid.
+_MAX_TIME_S = 86_400.0
+_MAX_COUNT = 2**31 - 1
+_MAX_RATE = 1e9
+# Each attempt goes to another target.
+_MAX_ATTEMPTS = 1_000
 _DEFAULT_TIMEOUT_S = 30.0
 _DEFAULT_TARGET_LATENCY_S = 1.0
 _LOWEST_PRIORITY = 9
@@ -115,10 +123,12 @@
                 map(_convert_team, _convert_rows(decoded.tenants, _TenantRow))
             ),
             limits=policies.CallerLimits(
-                header_bytes=decoded.limits.max_header_bytes,
-                body_bytes=decoded.limits.max_body_bytes,
-                head_ms=decoded.limits.header_timeout_s * 1_000,
-                idle_ms=decoded.limits.idle_timeout_s * 1_000,
+                header_bytes=_clamp(
+                    decoded.limits.max_header_bytes, _MAX_COUNT
+                ),
+                body_bytes=_clamp(decoded.limits.max_body_bytes, _MAX_COUNT),
+                head_ms=_to_ms(decoded.limits.header_timeout_s),
+                idle_ms=_to_ms(decoded.limits.idle_timeout_s),
             ),
         )
     except (
@@ -161,7 +171,7 @@
 def _convert_route(row: _RouteRow) -> policies.Route:
     splits = [
         policies.WeightedService(
-            model.ServiceId(backend.service), backend.weight
+            model.ServiceId(backend.service), min(backend.weight, _MAX_RATE)
         )
         for backend in row.weighted_backends or []
         if backend.weight > 0
@@ -177,11 +187,15 @@
         host=row.host.lower(),
         prefix=row.prefix,
         is_idempotent=row.kind == "idempotent",
-        timeout_ms=(row.timeout_s or _DEFAULT_TIMEOUT_S) * 1_000,
-        aim_ms=(row.target_latency_s or _DEFAULT_TARGET_LATENCY_S) * 1_000,
-        priority=_LOWEST_PRIORITY if row.priority is None else row.priority,
+        timeout_ms=_to_ms(row.timeout_s or _DEFAULT_TIMEOUT_S),
+        aim_ms=_to_ms(row.target_latency_s or _DEFAULT_TARGET_LATENCY_S),
+        priority=(
+            _LOWEST_PRIORITY
+            if row.priority is None
+            else _clamp(row.priority, _MAX_COUNT)
+        ),
         splits=tuple(splits),
-        max_attempts=max(1, row.max_attempts or 1),
+        max_attempts=max(1, _clamp(row.max_attempts or 1, _MAX_ATTEMPTS)),
         is_public=bool(row.public),
     )
 
@@ -189,8 +203,8 @@
 def _convert_service(row: _ServiceRow) -> policies.Service:
     return policies.Service(
         id=model.ServiceId(row.name),
-        connections_per_target=row.max_connections or 100,
-        cold_per_s=row.warmup_per_s or 0.0,
+        connections_per_target=_clamp(row.max_connections or 100, _MAX_COUNT),
+        cold_per_s=_clamp(row.warmup_per_s or 0.0, _MAX_RATE),
     )
 
 
@@ -201,7 +215,19 @@
             policies.hash_api_key(key.encode("utf-8"))
             for key in row.api_keys or []
         ),
-        priority=row.priority,
-        rate_per_s=row.rate_per_s or 0.0,
-        burst_requests=row.burst or 0.0,
+        priority=(
+            None if row.priority is None else _clamp(row.priority, _MAX_COUNT)
+        ),
+        rate_per_s=_clamp(row.rate_per_s or 0.0, _MAX_RATE),
+        burst_requests=_clamp(row.burst or 0.0, _MAX_RATE),
     )
+
+
+def _clamp(value: _Number, largest: _Number) -> _Number:
+    """Return the number from 0 to ``largest`` that is nearest to a value."""
+    return max(type(value)(0), min(value, largest))
+
+
+def _to_ms(duration_s: float) -> float:
+    """Return a duration in milliseconds, a day at most."""
+    return _clamp(duration_s, _MAX_TIME_S) * 1_000
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+import msgspec
 import pytest
 
 from pomeloward import model
@@ -143,6 +144,69 @@
     assert len(str(raised.value)) < 200
 
 
+_LARGE = int("9" * 4_000)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"limits": {"max-body-bytes": _LARGE, "idle-timeout-s": 1e308}},
+        {"limits": {"max-header-bytes": -5, "header-timeout-s": -1e308}},
+        {
+            "services": [
+                {
+                    "name": "orders",
+                    "max-connections": _LARGE,
+                    "warmup-per-s": 1e308,
+                }
+            ]
+        },
+        {
+            "tenants": [
+                {
+                    "name": "huka",
+                    "priority": _LARGE,
+                    "rate-per-s": 1e308,
+                    "burst": 1e308,
+                }
+            ]
+        },
+        {
+            "routes": [
+                {
+                    "name": "safe",
+                    "host": "api.example",
+                    "prefix": "/",
+                    "kind": "idempotent",
+                    "timeout-s": 1e308,
+                    "target-latency-s": 1e308,
+                    "priority": -_LARGE,
+                    "max-attempts": _LARGE,
+                    "weighted-backends": [
+                        {"service": "orders", "weight": 1e308},
+                        {"service": "other", "weight": 1e308},
+                    ],
+                }
+            ]
+        },
+    ],
+)
+def test_large_numbers_of_a_configuration_become_bounds(fields):
+    """Sums of them were infinite, and integers didn't fit in messages."""
+    decoded_policy = configuration.decode_configuration(
+        _json_bytes({**fleet.configuration(3), **fields})
+    )
+    numbers = _list_numbers(msgspec.to_builtins(decoded_policy))
+    assert all(abs(number) < 2**32 for number in numbers)
+    assert all(number >= 0 for number in numbers)
+
+
+def _list_numbers(value):
+    if isinstance(value, (list, tuple)):
+        return [number for one in value for number in _list_numbers(one)]
+    return [value] if isinstance(value, (int, float)) else []
+
+
 def test_weighted_backends_replace_the_service():
     configuration_fields = fleet.configuration(3)
     routes = configuration_fields["routes"]
