Ignore numbers of targets that are not plausible

A target that answers 503 with "Retry-After: 1e308" made its callers get 500 (`internal error: OverflowError`): in milliseconds the pause is infinite, and the log line couldn't round it.

Change: seconds and rates over a billion are ignored and logged, like texts that are no number.

Evidence: the test with 1e308 failed before and passes now.

--- a/src/pomeloward/relay/noticereader.py
+++ b/src/pomeloward/relay/noticereader.py
@@ -16,6 +16,8 @@
 _PAUSE_STATUS = 503
 _RETRY_AFTER_HEADER = b"retry-after"
 _MAX_LOGGED_BYTES = 40
+# Seconds or requests per second beyond this are not plausible.
+_MAX_NUMBER = 1e9
 
 # Called with what an answer of a target says of the target.
 OnNotice = collections.abc.Callable[
@@ -90,7 +92,7 @@
             number = float(text)
         except ValueError:
             number = math.nan
-        if 0.0 <= number < math.inf:
+        if 0.0 <= number <= _MAX_NUMBER:
             return number
         eliot.log_message(
             message_type=message_type,
--- a/tests/platform/test_targetnotices.py
+++ b/tests/platform/test_targetnotices.py
@@ -141,7 +141,17 @@
 
 
 @pytest.mark.parametrize(
-    "text", ["0", "-1", "soon", "Fri, 04 Dec 2026 21:00:00 GMT", "nan", "inf"]
+    "text",
+    [
+        "0",
+        "-1",
+        "soon",
+        "Fri, 04 Dec 2026 21:00:00 GMT",
+        "nan",
+        "inf",
+        "1e308",
+        "9" * 400,
+    ],
 )
 async def test_pause_that_is_not_plausible_is_ignored(world, text):
     async with world.running(names=("s1",)):
