Let one attempt at a time read a body that is on its way

Targets ran look-ups with chunks missing from their bodies, and callers got 200. With a length, callers got 500 (`internal error: LocalProtocolError`) while all targets were sound. No lost packet is needed: an upload that is slower than the usual answer suffices, at any size over 128 KiB.

Cause: a request whose first attempt is late gets a backup attempt. Both iterated over the same body, and each took the next chunk from the caller: what one had was missing from the other's. Whether a body can be replayed was asked, which is true until it outgrows its buffer; whether another attempt is reading it was not.

Change: a body on its way belongs to its newest reader. `can_share` tells whether an attempt may read it beside another, `can_replay` whether one may after it, and each decision asks the one it needs. An iteration that would leave out a part raises an error, so that no receiver takes a part for the whole; that holds after `stop` as well. While a body is on its way no backup attempt is started, since the target waits for the caller; the delay counts from its end.

Ruled out: a buffer shared by both readers. It would need the whole body in memory, or let the slower target hold up the other.

--- a/src/pomeloward/dispatch/hedger.py
+++ b/src/pomeloward/dispatch/hedger.py
@@ -72,8 +72,7 @@
         self, race: races.Race, tasks: anyio.abc.TaskGroup
     ) -> None:
         request = race.request
-        # Two attempts can't both read a body that is still arriving.
-        if not request.body.is_ended or not race.budget.try_take():
+        if not request.body.can_share or not race.budget.try_take():
             return
         spare = self._spares.try_acquire(
             request.route.service,
--- a/src/pomeloward/dispatch/request.py
+++ b/src/pomeloward/dispatch/request.py
@@ -16,7 +16,11 @@
 
     @property
     def can_replay(self) -> bool:
-        """Whether another attempt can get the body from its start."""
+        """Whether another attempt can get the body after this one."""
+
+    @property
+    def can_share(self) -> bool:
+        """Whether another attempt can get the body beside this one."""
 
     @property
     def is_ended(self) -> bool:
--- a/src/pomeloward/entry/__init__.py
+++ b/src/pomeloward/entry/__init__.py
@@ -2,6 +2,7 @@
 
 from pomeloward.entry.admin import Admin as Admin
 from pomeloward.entry.application import Application as Application
+from pomeloward.entry.body import BodyNotReadable as BodyNotReadable
 from pomeloward.entry.body import BodyTooLarge as BodyTooLarge
 from pomeloward.entry.body import CallerGone as CallerGone
 from pomeloward.entry.body import RequestBody as RequestBody
--- a/src/pomeloward/entry/body.py
+++ b/src/pomeloward/entry/body.py
@@ -20,11 +20,17 @@
     """A body grew over its limit."""
 
 
+class BodyNotReadable(model.PomelowardError):
+    """An attempt can't get a body, or its rest, without a gap."""
+
+
 class RequestBody:
     """Reads a body once and keeps its start for another attempt.
 
     Up to ``replay_bytes`` are kept; beyond that the body is streamed to one
-    target only, one chunk at a time. ``limit_bytes`` bounds the whole.
+    target only, one chunk at a time. ``limit_bytes`` bounds the whole. While
+    the body is on its way, it belongs to the newest iteration over it: a
+    chunk that another one took would be missing.
     """
 
     def __init__(
@@ -36,13 +42,20 @@
         self._size = 0
         self._kept: list[bytes] = []
         self._is_kept_whole = True
+        self._is_stopped = False
+        self._newest_reader = 0
         self.ended = anyio.Event()
 
     @property
     def can_replay(self) -> bool:
-        """Whether another attempt can get the body from its start."""
+        """Whether another attempt can get the body after this one."""
         return self._is_kept_whole
 
+    @property
+    def can_share(self) -> bool:
+        """Whether another attempt can get the body beside this one."""
+        return self._is_kept_whole and self.is_ended and not self._is_stopped
+
     @property
     def is_ended(self) -> bool:
         """Whether the last byte has come from the caller."""
@@ -60,13 +73,30 @@
     async def chunks(self) -> collections.abc.AsyncIterator[bytes]:
         """Iterate over the body from its start.
 
-        Raises ``CallerGone`` and ``BodyTooLarge``.
+        Raises ``CallerGone``, ``BodyTooLarge``, and ``BodyNotReadable`` if
+        the iteration would leave out a part. It ends only after the last
+        byte, so that no receiver takes a part for the whole.
         """
-        for chunk in tuple(self._kept):
-            yield chunk
-        while not self.is_ended:
+        if not self._is_kept_whole:
+            raise BodyNotReadable("the start of the body is not kept")
+        self._newest_reader += 1
+        reader = self._newest_reader
+        position = 0
+        while True:
+            if self._is_kept_whole and position < len(self._kept):
+                yield self._kept[position]
+                position += 1
+                continue
+            if self.can_share:
+                return
+            if reader != self._newest_reader:
+                raise BodyNotReadable("another attempt reads the body")
+            if self._is_stopped:
+                raise BodyNotReadable("the body was not read to its end")
+            if self.is_ended:
+                return
             chunk = await self._next()
-            if chunk:
+            if chunk and not self._is_kept_whole:
                 yield chunk
 
     async def read_whole(self, limit_bytes: int) -> bytes:
@@ -89,6 +119,7 @@
 
     def stop(self) -> None:
         """Read no more, since the answer did not wait for the rest."""
+        self._is_stopped = not self.is_ended
         self.ended.set()
 
     async def _next(self) -> bytes:
--- a/src/pomeloward/entry/targetrequests.py
+++ b/src/pomeloward/entry/targetrequests.py
@@ -15,6 +15,7 @@
     """The body of a request that has none."""
 
     can_replay = True
+    can_share = True
     is_ended = True
 
     async def chunks(self) -> collections.abc.AsyncIterator[bytes]:
--- a/src/pomeloward/relay/forwarder.py
+++ b/src/pomeloward/relay/forwarder.py
@@ -26,6 +26,9 @@
 # that may reach them.
 _UNREACHABLE_FOR_RELAY = 2
 
+# While a body is on its way, its end is looked for at this interval.
+_UPLOAD_POLL_S = 0.02
+
 _UNREACHABLE = balance.Outcome.UNREACHABLE
 _ResultSender = memory.MemoryObjectSendStream[attemptresult.AttemptResult]
 _ResultReceiver = memory.MemoryObjectReceiveStream[attemptresult.AttemptResult]
@@ -177,6 +180,10 @@
         counts as silent.
         """
         if state.open_count == 1 and self._may_repeat(state):
+            # No target can answer before it has the body.
+            while not state.request.body.is_ended:
+                with anyio.move_on_after(_UPLOAD_POLL_S):
+                    return await receiver.receive()
             latency = self._balancer.latency_estimator(state.request.route)
             wait_started_s = anyio.current_time()
             for delay_ms, is_early in (
@@ -205,6 +212,7 @@
         budget = self._retry_budgets.budget_for(request.service_id)
         if (
             not self._may_repeat(state)
+            or not request.body.can_share
             or not self._has_time_left(request)
             # A second attempt into a broken path would be the last one.
             or self._path_monitor.is_checking
@@ -238,7 +246,7 @@
         is_safe = result.not_run_proof is not None or request.can_repeat
         if (
             not is_safe
-            or not request.body.can_replay
+            or not _can_get_body(state)
             or self._refuse_quarantined(request) is not None
         ):
             return None
@@ -417,6 +425,12 @@
         )
 
 
+def _can_get_body(state: forwardingstate.ForwardingState) -> bool:
+    """Return whether one more attempt can get the body of the request."""
+    body = state.request.body
+    return body.can_share if state.open_count else body.can_replay
+
+
 async def _close_unread(receiver: _ResultReceiver) -> None:
     """Close the responses that came after the one that is passed on."""
     while True:
--- a/src/pomeloward/relay/targetclient.py
+++ b/src/pomeloward/relay/targetclient.py
@@ -6,6 +6,7 @@
 
 from pomeloward import balance
 from pomeloward import dispatch
+from pomeloward import entry
 from pomeloward import model
 from pomeloward import replica
 from pomeloward.dispatch import link as links
@@ -79,6 +80,10 @@
             return await self._check_response(
                 request, attempt, target, response, run_evidence
             )
+        except entry.BodyNotReadable as error:
+            return attemptresult.AttemptResult(
+                attempt, balance.Outcome.ABANDONED, str(error)
+            )
         except httpx.HTTPError as error:
             result = _transport_failure(
                 attempt, error, send_observer.has_started
--- a/tests/dispatch/test_hedger.py
+++ b/tests/dispatch/test_hedger.py
@@ -73,6 +73,7 @@
 class _Body:
     can_replay = True
     is_ended = True
+    can_share = True
 
 
 def _request():
