Relay a body only while it is kept from its start

Targets ran bookings with an empty body, and callers got 200.

Cause: a body over 256 KiB goes to one receiver, and isn't kept. When a peer refused a relayed request as not run, the next peer got it all the same, without what the first one had read: in chunks that is a whole, empty body. That it has not run was asked, and whether its body can be had was not. The same gap was between a target that took the body and a relay because of a lost path, and where open look-ups are ended so that a peer can have them.

Change: a request whose body isn't kept goes to no other peer. It is refused at once with 503, which is true, as the peer said that it hasn't run; its caller may send it again.

Ruled out: keeping bodies of any size, which the memory of a host doesn't allow.

--- a/src/pomeloward/relay/peerrelay.py
+++ b/src/pomeloward/relay/peerrelay.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from pomeloward import dispatch
+from pomeloward import entry
 from pomeloward import model
 from pomeloward.dispatch import outgoing
 from pomeloward.relay import admittedrequest
@@ -86,9 +87,10 @@
         """Return a peer's response, or a refusal if it may have run.
 
         Returns None if the request has certainly not run and no peer could
-        serve it, or if there is no peer.
+        serve it, or if there is no peer. A body that is no longer kept can't
+        go to any.
         """
-        if not self._find_peers():
+        if not request.body.can_replay or not self._find_peers():
             return None
         with anyio.CancelScope(deadline=request.deadline_ms / 1_000):
             forwarded = await self._try_peers(request, log_entry)
@@ -176,7 +178,7 @@
                 )
                 return _fail(refused_kind)
             return expression.Ok(peer_response)
-        except httpx.HTTPError as error:
+        except (httpx.HTTPError, entry.BodyNotReadable) as error:
             detail = type(error).__name__
             return _fail(model.ErrorKind.TARGET_FAILED)
         finally:
@@ -240,7 +242,7 @@
 def _may_try_again(request: admittedrequest.AdmittedRequest) -> bool:
     """Return whether another peer may get a request without a response."""
     may_repeat = request.can_repeat or request.run_evidence.proof is not None
-    return may_repeat and request.attempts_left > 0
+    return may_repeat and request.body.can_replay and request.attempts_left > 0
 
 
 def _fail(kind: model.ErrorKind) -> forwarding.ForwardResult:
