Let an unforeseen error fail one attempt instead of its request

Callers got 500 (`internal error: LocalProtocolError`) while other targets were sound. The transport maps most errors of its libraries and lets some through, and those ended the request instead of the attempt.

Change: such an error is logged with its traceback and counts as a failed attempt, which another target may make good. A target whose address makes no URL counts as unreachable. Errors of the caller's side (gone, body too large) go on as before.

Evidence: with a transport that raises such an error at one of two targets, look-ups got 500 before and 200 now.

--- a/src/pomeloward/relay/targetclient.py
+++ b/src/pomeloward/relay/targetclient.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 
+import eliot
 import httpx
 
 from pomeloward import balance
@@ -69,10 +70,13 @@
 
         ``run_evidence`` is told whether the request may have run.
         """
-        link = self._get_link(target)
-        link.enter(model.now_ms())
         send_observer = sendobserver.SendObserver(run_evidence)
         response: httpx.Response | None = None
+        try:
+            link = self._get_link(target)
+        except httpx.InvalidURL as error:
+            return _transport_failure(attempt, error, is_sent=False)
+        link.enter(model.now_ms())
         try:
             response = await link.transport.handle_async_request(
                 self._make_request(request, target, link, send_observer)
@@ -91,6 +95,17 @@
             if send_observer.has_started and response is None:
                 result.has_crashed_target = await self._is_down(target)
             return result
+        except model.PomelowardError:
+            raise
+        # The transport lets some errors of its libraries through. One attempt
+        # has failed then, and another target may still serve the request.
+        except Exception as error:  # noqa: BLE001
+            eliot.write_traceback()
+            if response is not None:
+                await response.aclose()
+            return _transport_failure(
+                attempt, error, send_observer.has_started
+            )
         finally:
             link.leave(model.now_ms())
 
@@ -251,7 +266,7 @@
 
 
 def _transport_failure(
-    attempt: balance.Attempt, error: httpx.HTTPError, is_sent: bool
+    attempt: balance.Attempt, error: Exception, is_sent: bool
 ) -> attemptresult.AttemptResult:
     """Return the result of an attempt that failed without a response."""
     error_name = type(error).__name__
--- a/tests/platform/test_targetfailures.py
+++ b/tests/platform/test_targetfailures.py
@@ -5,6 +5,7 @@
 """
 
 import anyio
+import h11
 import httpx
 import pytest
 
@@ -85,6 +86,34 @@
         assert response.text == "to the end"
 
 
+@pytest.mark.parametrize(
+    ("path", "status"), [("/safe/", 200), ("/order/", 502)]
+)
+async def test_error_that_nobody_foresaw_fails_one_attempt_only(
+    world, monkeypatch, path, status
+):
+    """Callers got 500 while other targets were sound."""
+    send = httpx.AsyncHTTPTransport.handle_async_request
+
+    async def fail_at_first_target(self, request):
+        response = await send(self, request)
+        if request.url.port == world.servers["s1"].port:
+            await response.aclose()
+            raise h11.LocalProtocolError("too little data")
+        return response
+
+    async with world.running():
+        monkeypatch.setattr(
+            httpx.AsyncHTTPTransport,
+            "handle_async_request",
+            fail_at_first_target,
+        )
+        statuses = {
+            (await world.request("POST", path)).status_code for _ in range(6)
+        }
+        assert statuses <= {200, status}
+
+
 async def test_duplicate_response_of_a_target_is_discarded(world):
     async with world.running(names=("s1",)):
         server = world.servers["s1"]
