Read on at the end of a connection, so that its last response arrives

Callers whose bodies were still coming lost a response that the host had sent: their connection was reset. A host that is stopping ends connections after each response, so that it met most of them then.

Cause: the host closed a connection right after the last response. A close with bytes unread, or with more on their way, resets the connection instead, and what the caller has not read yet may be gone. A body in chunks that is refused, or answered early, always has such bytes.

Change: the end of the responses is sent first, and what still comes is discarded until the caller ends the connection, for a second at most (RFC 9112, 9.6).

--- a/src/pomeloward/entry/connection.py
+++ b/src/pomeloward/entry/connection.py
@@ -1,6 +1,7 @@
 """One connection of a caller."""
 
 import asyncio
+import contextlib
 import typing
 
 from hypercorn import config as configs
@@ -17,6 +18,9 @@
 
 # hypercorn's own size of a read.
 _READ_BYTES = 65_536
+# How long a connection that ends is still read. A close with unread bytes
+# resets it, and a caller that still sends might lose the last response.
+_LINGER_S = 1.0
 
 
 class Connection(tcp_server.TCPServer):  # type: ignore[misc]
@@ -37,9 +41,13 @@
         super().__init__(app, loop, config, context, {}, reader, writer)
         self.idle_task = idletimer.IdleTimer(times)
         self._max_open_requests = max_open_requests
+        self._is_lingering = False
+        self._reads_ended = asyncio.Event()
+        self._read_task: asyncio.Task[typing.Any] | None = None
 
     async def run(self) -> None:
         """Serve until the connection ends."""
+        self._read_task = asyncio.current_task()
         socket = self.writer.get_extra_info("socket")
         try:
             client = utils.parse_socket_addr(
@@ -74,8 +82,34 @@
             # The caller's connection was reset.
             pass
         finally:
+            self._reads_ended.set()
             await self._close()
 
+    async def protocol_send(self, event: events.Event) -> None:
+        """Send bytes, or end the connection once the caller has ended it."""
+        if isinstance(event, events.Closed):
+            await self._linger()
+        await super().protocol_send(event)
+
+    async def _linger(self) -> None:
+        """Send the end of the responses, and discard what is received."""
+        if self._is_lingering or self._reads_ended.is_set():
+            return
+        self._is_lingering = True
+        await self.idle_task.stop()
+        try:
+            self.writer.write_eof()
+        except (OSError, RuntimeError):
+            return
+        is_reading = asyncio.current_task() is self._read_task
+        rest = self._discard_rest() if is_reading else self._reads_ended.wait()
+        with contextlib.suppress(asyncio.TimeoutError, OSError):
+            await asyncio.wait_for(rest, _LINGER_S)
+
+    async def _discard_rest(self) -> None:
+        while await self.reader.read(_READ_BYTES):
+            pass
+
     def close_if_idle(self) -> None:
         """Close a connection that waits for a request."""
         self.idle_task.fire()
@@ -91,6 +125,8 @@
             except OSError:
                 # A reset ends the open request as a close does.
                 break
+            if self._is_lingering:
+                continue
             if data:
                 self.idle_task.begin_head(self._head_timeout)
             await self.protocol.handle(events.RawData(data))
