Answer the requests that are open when a stopping host exits

Hypotheses, written before the change: 1. An order crosses the decision to exit: it is accepted, passed on, and cut when the connections are aborted. The host decides when no request was open for 400 ms, and nothing stops callers who hold an address or a connection. 2. An order that no target has got waits in a queue until the process ends. 4. The answer comes after the latest exit, as the deadline of an order that came early in the grace lies behind it.

The users' log lines don't tell which of them it was: request lines don't say when a body ended or whether the host was stopping, and nothing was logged at the exit.

Change: at the exit the host closes its ports and its idle connections first, and goes on until the open requests are answered, at most until the latest exit. 250 ms before that, requests that wait for a target are refused as not run.

Log lines that tell the hypotheses apart: request lines have `body_ms` and `draining`, a line `exit` has the open requests, the open connections and the time that was left, and an attempt whose answer has another id names that id.

--- a/src/pomeloward/edge/edgeserver.py
+++ b/src/pomeloward/edge/edgeserver.py
@@ -220,8 +220,35 @@
             for name, task in background_tasks.items():
                 task_group.start_soon(supervisor.run_supervised, name, task)
             await self._tick_until_shutdown(components)
+            await self._end_connections(components, listeners)
             task_group.cancel_scope.cancel()
 
+    async def _end_connections(
+        self,
+        components: hostcomponents.HostComponents,
+        listeners: collections.abc.Sequence[httplistener.HttpListener],
+    ) -> None:
+        """Refuse new connections, and end the open requests.
+
+        Callers that know no better may still have sent some. The rest of the
+        host works on until these are answered.
+        """
+        for listener in listeners:
+            listener.stop_accepting()
+            listener.close_idle()
+        latest_ms = model.now_ms()
+        if self._shutdown is not None:
+            latest_ms = self._shutdown.latest_exit_ms
+        remaining_s = max(0.0, latest_ms - model.now_ms()) / 1_000
+        with anyio.move_on_after(remaining_s):
+            await components.open_requests.wait_until_none()
+        eliot.log_message(
+            message_type="exit",
+            open_requests=components.open_requests.count,
+            open_connections=sum(map(len, listeners)),
+            remaining_ms=round(latest_ms - model.now_ms()),
+        )
+
     async def _tick_until_shutdown(
         self, components: hostcomponents.HostComponents
     ) -> None:
@@ -253,6 +280,8 @@
                 supervisor.log_task_failure("tick", error)
             if self._shutdown is None:
                 continue
+            if self._shutdown.refuses_waiting_requests(now_ms):
+                components.slot_allocator.refuse_all()
             if self._shutdown.refuses_long_requests(now_ms):
                 components.refuse_requests_beyond(
                     self._shutdown.latest_exit_ms
--- a/src/pomeloward/edge/httplistener.py
+++ b/src/pomeloward/edge/httplistener.py
@@ -67,12 +67,16 @@
         if self._server is not None:
             self._server.close()
 
+    def close_idle(self) -> None:
+        """Close the connections that wait for a request."""
+        for connection in list(self._open_connections):
+            connection.close_if_idle()
+
     async def close(self) -> None:
         """Refuse new connections, close idle ones and abort the others."""
         self.stop_accepting()
         await self._context.terminated.set()
-        for connection in list(self._open_connections):
-            connection.close_if_idle()
+        self.close_idle()
         await asyncio.sleep(0)
         for connection in list(self._open_connections):
             connection.abort()
--- a/src/pomeloward/edge/shutdownschedule.py
+++ b/src/pomeloward/edge/shutdownschedule.py
@@ -8,6 +8,8 @@
 IDLE_BEFORE_EXIT_MS = 400.0
 # Time that is left for the process to exit by itself before it is killed.
 _EXIT_RESERVE_MS = 350.0
+# Time in which the refusals of requests that wait reach their callers.
+_REFUSAL_RESERVE_MS = 250.0
 
 
 class ShutdownSchedule:
@@ -29,6 +31,13 @@
             now_ms >= self._earliest_exit_ms and is_idle
         )
 
+    def refuses_waiting_requests(self, now_ms: float) -> bool:
+        """Tell whether to refuse requests that no target has got yet.
+
+        They have not run, which their callers should hear before the exit.
+        """
+        return now_ms >= self.latest_exit_ms - _REFUSAL_RESERVE_MS
+
     def refuses_long_requests(self, now_ms: float) -> bool:
         """Tell whether to refuse requests that may not end before the exit.
 
--- a/src/pomeloward/entry/body.py
+++ b/src/pomeloward/entry/body.py
@@ -45,6 +45,8 @@
         self._is_stopped = False
         self._newest_reader = 0
         self.ended = anyio.Event()
+        # When the last byte came, None while the body is on its way.
+        self.ended_at_ms: float | None = None
 
     @property
     def can_replay(self) -> bool:
@@ -137,5 +139,6 @@
             self._is_kept_whole = False
             self._kept.clear()
         if not message.get("more_body", False):
+            self.ended_at_ms = model.now_ms()
             self.ended.set()
         return chunk
--- a/src/pomeloward/relay/application.py
+++ b/src/pomeloward/relay/application.py
@@ -68,7 +68,9 @@
         now_ms = model.now_ms()
         received_id = requesthead.find_request_id(scope, self._conventions)
         request_id = received_id or model.RequestId(secrets.token_hex(8))
-        log_entry = requestlogentry.RequestLogEntry(request_id, now_ms)
+        log_entry = requestlogentry.RequestLogEntry(
+            request_id, now_ms, is_draining=self.is_draining
+        )
         request_id_header = (
             self._conventions.request_id_header,
             request_id.encode("latin-1"),
@@ -184,6 +186,10 @@
 
             tasks.start_soon(cancel_on_disconnect)
             forwarded = await self._forward_in_turn(request, turn, log_entry)
+            if body.ended_at_ms is not None:
+                log_entry.body_ms = round(
+                    body.ended_at_ms - log_entry.started_at_ms, 1
+                )
             body.stop()
             # A peer counts the requests that are relayed to it.
             is_uncounted = (
@@ -285,7 +291,9 @@
             status=status,
             reason=log_entry.reason,
             took_ms=round(took_ms, 1),
+            body_ms=log_entry.body_ms,
             waited_ms=round(log_entry.waited_ms, 1),
+            draining=log_entry.is_draining,
             route=log_entry.route_id,
             team=log_entry.team_id,
             service=log_entry.service_id,
--- a/src/pomeloward/relay/openrequests.py
+++ b/src/pomeloward/relay/openrequests.py
@@ -2,6 +2,8 @@
 
 import collections.abc
 
+import anyio
+
 from pomeloward import model
 
 
@@ -18,6 +20,7 @@
         self.started_count = 0
         self.last_ended_at_ms = float("-inf")
         self.on_started: collections.abc.Callable[[], None] = _ignore
+        self._last_ended = anyio.Event()
 
     def count_started(self) -> None:
         """Count a request whose head was received."""
@@ -29,6 +32,14 @@
         """Count a request as ended, with a response or without."""
         self.count -= 1
         self.last_ended_at_ms = model.now_ms()
+        if not self.count:
+            self._last_ended.set()
+
+    async def wait_until_none(self) -> None:
+        """Wait until no request is open."""
+        while self.count:
+            self._last_ended = anyio.Event()
+            await self._last_ended.wait()
 
     def is_idle(self, min_idle_ms: float, now_ms: float) -> bool:
         """Return whether no request has been open for ``min_idle_ms``."""
--- a/src/pomeloward/relay/requestlogentry.py
+++ b/src/pomeloward/relay/requestlogentry.py
@@ -13,7 +13,9 @@
     response, and is empty otherwise.
     ``fingerprint`` is shared with the requests that ask for the same, and
     empty if the request was not admitted.
-    ``waited_ms`` is the time until the first attempt got a slot.
+    ``body_ms`` is the time until the last byte of the request came, None if
+    none came. ``waited_ms`` is the time until the first attempt got a slot.
+    ``is_draining`` tells that the host was stopping when the request came.
     ``attempts`` has a text for each attempt with target, reason of its
     selection, outcome, duration and detail, such as
     ``i-7 near ok 131ms answered 200``.
@@ -27,5 +29,7 @@
     service_id: str = ""
     fingerprint: str = ""
     reason: str = ""
+    body_ms: float | None = None
     waited_ms: float = 0.0
+    is_draining: bool = False
     attempts: list[str] = dataclasses.field(default_factory=list)
--- a/src/pomeloward/relay/targetclient.py
+++ b/src/pomeloward/relay/targetclient.py
@@ -29,6 +29,7 @@
 # Part of its announced idle time after which a connection isn't used again:
 # the target closes it while a request may be on its way.
 _IDLE_TIME_RATIO = 0.8
+_MAX_LOGGED_BYTES = 40
 
 Headers = dispatch.Headers
 
@@ -201,7 +202,8 @@
             return attemptresult.AttemptResult(
                 attempt,
                 balance.Outcome.ERROR,
-                f"response {status} has another request id",
+                f"response {status} has another request id: "
+                f"{_quote_id(headers, conventions)}",
             )
         is_not_run = (
             conventions.not_run_header in headers
@@ -265,6 +267,16 @@
         )
 
 
+def _quote_id(
+    headers: dict[bytes, bytes], conventions: httpconventions.HttpConventions
+) -> str:
+    """Return the request id of a response for a log line."""
+    request_id = headers.get(conventions.request_id_header)
+    if request_id is None:
+        return "none"
+    return request_id[:_MAX_LOGGED_BYTES].decode("latin-1")
+
+
 def _transport_failure(
     attempt: balance.Attempt, error: Exception, is_sent: bool
 ) -> attemptresult.AttemptResult:
--- a/tests/platform/test_hosts.py
+++ b/tests/platform/test_hosts.py
@@ -4,7 +4,9 @@
 import httpx
 import pytest
 
+from pomeloward.edge import shutdownschedule
 from tests.platform import fleet
+from tests.platform import log
 from tests.platform import server as servers
 
 pytestmark = pytest.mark.anyio
@@ -88,6 +90,82 @@
                 await world.get("/safe/")
 
 
+async def test_requests_that_are_open_at_the_exit_are_answered(
+    world, monkeypatch
+):
+    """A request that crossed the decision to exit was cut at its target."""
+
+    async def answer_late(server, stream, request_id, headers):
+        await anyio.sleep(0.5)
+        await servers.answer(server, stream, request_id, headers)
+
+    monkeypatch.setattr(
+        shutdownschedule.ShutdownSchedule,
+        "should_exit",
+        lambda self, is_idle, now_ms: True,
+    )
+    responses = []
+    with log.captured_lines() as lines:
+        async with world.running(names=("s1",)):
+            world.servers["s1"].behave = answer_late
+
+            async def send_request():
+                responses.append(await world.request("POST", "/order/"))
+
+            async with anyio.create_task_group() as tasks:
+                for _ in range(3):
+                    tasks.start_soon(send_request)
+                await anyio.sleep(0.1)
+                world.nodes["n1"].start_shutdown()
+            await anyio.sleep(0.2)
+    assert [one.status_code for one in responses] == [200] * 3
+    (exit_line,) = log.lines_of_type(lines, "exit")
+    assert exit_line["open_requests"] == 0
+
+
+async def test_request_that_waits_until_the_exit_is_refused_before_it(world):
+    """Its connection was closed, although no target had got the request."""
+
+    async def never_answer(server, stream, request_id, headers):
+        await anyio.sleep_forever()
+
+    routes = fleet.configuration()["routes"]
+    row = ["slow", fleet.HOST, "/slow/", "non_idempotent", 9.0, 9.0]
+    row += [1, None, 2, False, "orders"]
+    statuses = {}
+    async with world.running(names=("s1",)):
+        changed = {**routes, "rows": [*routes["rows"], row]}
+        world.store.put(
+            "op/config", fleet.configuration(version=2, routes=changed)
+        )
+        await anyio.sleep(1.0)
+        world.servers["s1"].behave = never_answer
+
+        async def order(number):
+            try:
+                response = await world.request(
+                    "POST",
+                    "/slow/",
+                    headers=[("X-Timeout-Ms", "9000")],
+                    timeout=9.0,
+                )
+                statuses[number] = response.status_code
+            except httpx.HTTPError:
+                statuses[number] = 0
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(5):
+                tasks.start_soon(order, number)
+                await anyio.sleep(0.02)
+            world.nodes["n1"].start_shutdown()
+    waited = [
+        status
+        for number, status in statuses.items()
+        if number >= len(world.servers["s1"].seen)
+    ]
+    assert waited and set(waited) == {503}
+
+
 async def test_stop_takes_no_request_that_may_outlast_the_grace(world):
     """Orders that came late in the grace were cut without an answer."""
 
