Answer uploads that are late at the deadline of their request

Callers with a slow upload got their answer when the upload ended, however long that took, and after an answer that came before its end their connection was closed without a word: the next request on it got none.

Cause: the read of a body's start had no bound but the idle time of a connection, and whether the body was read wasn't asked when the response was written.

Change: a body that isn't here at the deadline is refused as not run, and a response that comes before the end of the body announces the close of the connection.

Evidence: with uploads of 30 and 600 kB that pause beyond the deadline of 2 s, no response had the announcement before, and the smaller one was refused only after the pause; both are answered at 2 s now.

--- a/src/pomeloward/relay/application.py
+++ b/src/pomeloward/relay/application.py
@@ -148,7 +148,13 @@
             await self._refuse(writer, admitted.error, log_entry)
             return
         request = _make_admitted_request(head, admitted.ok, body, log_entry)
-        await body.preload()
+        with anyio.CancelScope(
+            deadline=request.deadline_ms / 1_000
+        ) as preload_scope:
+            await body.preload()
+        if preload_scope.cancelled_caught:
+            await self._refuse_late_body(request, writer, log_entry)
+            return
         log_entry.fingerprint = request.fingerprint = (
             quarantine.compute_fingerprint(
                 request.method,
@@ -162,6 +168,24 @@
             request, body, receive, writer, log_entry, entry.turn_of(scope)
         )
 
+    async def _refuse_late_body(
+        self,
+        request: admittedrequest.AdmittedRequest,
+        writer: responsewriter.ResponseWriter,
+        log_entry: requestlogentry.RequestLogEntry,
+    ) -> None:
+        """Refuse a request whose body has not come by its deadline."""
+        self._admission_control.refund_request(request.team, model.now_ms())
+        writer.closes_connection = True
+        await self._refuse(
+            writer,
+            model.Refusal(
+                model.ErrorKind.QUEUE_TIMEOUT,
+                "the body did not come before the deadline",
+            ),
+            log_entry,
+        )
+
     async def _forward_while_connected(
         self,
         request: admittedrequest.AdmittedRequest,
@@ -190,6 +214,8 @@
                 log_entry.body_ms = round(
                     body.ended_at_ms - log_entry.started_at_ms, 1
                 )
+            # What is left of the body would be taken for the next request.
+            writer.closes_connection |= not body.is_ended
             body.stop()
             # A peer counts the requests that are relayed to it.
             is_uncounted = (
--- a/tests/platform/test_requestbodies.py
+++ b/tests/platform/test_requestbodies.py
@@ -6,6 +6,8 @@
 import anyio
 import pytest
 
+from tests.platform import log
+
 pytestmark = pytest.mark.anyio
 
 _CHUNK_BYTES = 15_360
@@ -71,6 +73,22 @@
             assert set(digests) == {_digest(chunks)}
 
 
+@pytest.mark.parametrize("size_bytes", [30_000, 600_000])
+async def test_body_that_comes_too_late_is_answered_at_the_deadline(
+    world, size_bytes
+):
+    """Callers with slow uploads waited for as long as these took."""
+    with log.captured_lines() as lines:
+        async with world.running():
+            chunks = _make_chunks(size_bytes)
+            response, _ = await _upload(world, chunks, False, 2.6, 1)
+    # The client reads the response only after its last chunk.
+    (line,) = log.lines_of_type(lines, "request")
+    assert 1_900 < line["took_ms"] < 2_400
+    assert response.status_code == (503 if size_bytes < 131_072 else 504)
+    assert response.headers["connection"] == "close"
+
+
 async def test_kept_body_gets_a_backup_attempt_once_it_is_here(world):
     async with world.running(names=("s1", "s2", "s3")):
         for _ in range(_BASE_CALLS):
