Let a request end with its response, not with its connection

With the reads after the last response, a request under a stopping host counted as open until its caller had ended the connection, up to a second later: it was in the way of the exit and of the figures. The reads go on in a task of their own now.

--- a/src/pomeloward/entry/connection.py
+++ b/src/pomeloward/entry/connection.py
@@ -43,11 +43,9 @@
         self._max_open_requests = max_open_requests
         self._is_lingering = False
         self._reads_ended = asyncio.Event()
-        self._read_task: asyncio.Task[typing.Any] | None = None
 
     async def run(self) -> None:
         """Serve until the connection ends."""
-        self._read_task = asyncio.current_task()
         socket = self.writer.get_extra_info("socket")
         try:
             client = utils.parse_socket_addr(
@@ -82,33 +80,24 @@
             # The caller's connection was reset.
             pass
         finally:
-            self._reads_ended.set()
             await self._close()
 
     async def protocol_send(self, event: events.Event) -> None:
         """Send bytes, or end the connection once the caller has ended it."""
-        if isinstance(event, events.Closed):
-            await self._linger()
-        await super().protocol_send(event)
-
-    async def _linger(self) -> None:
-        """Send the end of the responses, and discard what is received."""
-        if self._is_lingering or self._reads_ended.is_set():
-            return
-        self._is_lingering = True
-        await self.idle_task.stop()
-        try:
-            self.writer.write_eof()
-        except (OSError, RuntimeError):
-            return
-        is_reading = asyncio.current_task() is self._read_task
-        rest = self._discard_rest() if is_reading else self._reads_ended.wait()
-        with contextlib.suppress(asyncio.TimeoutError, OSError):
-            await asyncio.wait_for(rest, _LINGER_S)
-
-    async def _discard_rest(self) -> None:
-        while await self.reader.read(_READ_BYTES):
-            pass
+        if not isinstance(event, events.Closed):
+            await super().protocol_send(event)
+        elif not self._is_lingering:
+            self._is_lingering = True
+            await self.idle_task.stop()
+            with contextlib.suppress(OSError, RuntimeError):
+                self.writer.write_eof()
+            self._task_group.spawn(self._close_after_reads)
+
+    async def _close_after_reads(self) -> None:
+        """Close when the caller has ended the connection, or soon."""
+        with contextlib.suppress(asyncio.TimeoutError):
+            await asyncio.wait_for(self._reads_ended.wait(), _LINGER_S)
+        await self._close()
 
     def close_if_idle(self) -> None:
         """Close a connection that waits for a request."""
@@ -130,6 +119,7 @@
             if data:
                 self.idle_task.begin_head(self._head_timeout)
             await self.protocol.handle(events.RawData(data))
+        self._reads_ended.set()
         await self.protocol.handle(events.Closed())
 
     async def _idle_timeout(self) -> None:
