Keep a pool of connections in use until a long response has ended

Cause: an attempt counted as a use of its pool until its response began to be passed on. A target that has moved has the same effect, and so has a response relayed by another host.

Change: a body that is passed on holds its pool until it is closed.

Ruled out: not closing replaced pools. They would keep connections that the target expects to be unused.

--- a/src/pomeloward/relay/bodyrest.py
+++ b/src/pomeloward/relay/bodyrest.py
@@ -8,6 +8,7 @@
 from pomeloward import balance
 from pomeloward import dispatch
 from pomeloward import model
+from pomeloward.dispatch import link as links
 
 OnEnd = collections.abc.Callable[[balance.Outcome], None]
 
@@ -17,7 +18,8 @@
 
     A target may send bytes without end. Neither its slot nor its caller is
     kept longer than until the deadline of the request, and the target has
-    failed then. ``on_end`` is called once with the outcome.
+    failed then. ``on_end`` is called once with the outcome. The pool of the
+    connection is in use until the body is closed.
     """
 
     def __init__(
@@ -31,6 +33,12 @@
         self._chunks = chunks
         self._deadline_ms = deadline_ms
         self._outcome = balance.Outcome.ABANDONED
+        self._link: links.Link | None = None
+
+    def hold_link(self, link: links.Link) -> None:
+        """Count the body as a use of the pool that its connection is from."""
+        link.enter(model.now_ms())
+        self._link = link
 
     def __aiter__(self) -> "BodyRest":
         return self
@@ -49,6 +57,9 @@
         """Close the connection unless the body has ended, and end."""
         with anyio.CancelScope(shield=True):
             await self._response.aclose()
+        link, self._link = self._link, None
+        if link is not None:
+            link.leave(model.now_ms())
         on_end, self.on_end = self.on_end, None
         if on_end is not None:
             on_end(self._outcome)
--- a/src/pomeloward/relay/peerrelay.py
+++ b/src/pomeloward/relay/peerrelay.py
@@ -177,6 +177,7 @@
                     )
                 )
                 return _fail(refused_kind)
+            peer_response.hold_link(link)
             return expression.Ok(peer_response)
         except (httpx.HTTPError, entry.BodyNotReadable) as error:
             detail = type(error).__name__
--- a/src/pomeloward/relay/targetclient.py
+++ b/src/pomeloward/relay/targetclient.py
@@ -82,9 +82,12 @@
             response = await link.transport.handle_async_request(
                 self._make_request(request, target, link, send_observer)
             )
-            return await self._check_response(
+            result = await self._check_response(
                 request, attempt, target, response, run_evidence
             )
+            if result.response is not None:
+                result.response.hold_link(link)
+            return result
         except entry.BodyNotReadable as error:
             return attemptresult.AttemptResult(
                 attempt, balance.Outcome.ABANDONED, str(error)
--- a/src/pomeloward/relay/targetresponse.py
+++ b/src/pomeloward/relay/targetresponse.py
@@ -4,6 +4,7 @@
 
 from pomeloward import dispatch
 from pomeloward import model
+from pomeloward.dispatch import link as links
 from pomeloward.relay import bodyrest
 
 
@@ -26,6 +27,11 @@
     target_id: model.TargetId | None = None
     is_relayed: bool = False
 
+    def hold_link(self, link: links.Link) -> None:
+        """Keep a pool in use until a long body of this response has ended."""
+        if self.body_rest is not None:
+            self.body_rest.hold_link(link)
+
     async def aclose(self) -> None:
         """End the response, and its connection if the body has not ended."""
         if self.body_rest is not None:
--- a/tests/platform/test_targetfailures.py
+++ b/tests/platform/test_targetfailures.py
@@ -148,6 +148,40 @@
             await world.request("POST", "/order/")
 
 
+@pytest.mark.parametrize("path", ["/safe/", "/order/"])
+async def test_long_response_outlives_the_sweep_of_its_replaced_pool(
+    world, path
+):
+    """Long responses were cut when a target had announced its idle time."""
+    size_bytes = 600_000
+
+    async def answer_slowly(server, stream, request, headers):
+        server.ran.append(request)
+        extra = ["Keep-Alive: timeout=5"]
+        await stream.send(servers.head(request, 200, size_bytes, extra))
+        for _ in range(10):
+            await stream.send(bytes(size_bytes // 10))
+            await anyio.sleep(0.05)
+
+    async with world.running(names=("s1",)):
+        world.servers["s1"].behave = answer_slowly
+        links = world.nodes["n1"]._components.target_links
+        bodies = []
+
+        async def pull():
+            response = await world.request("POST", path)
+            bodies.append(len(response.content))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(pull)
+            for _ in range(8):
+                await anyio.sleep(0.05)
+                await links.sweep(anyio.current_time() * 1_000)
+        assert bodies == [size_bytes]
+        await links.sweep(anyio.current_time() * 1_000)
+        assert not links._former
+
+
 async def test_order_avoids_a_connection_past_its_announced_idle_time(world):
     """The target had dropped the connection, and the order got 502."""
     answered_s = {}
