--- a/tests/platform/demo.py
+++ b/tests/platform/demo.py
@@ -59,11 +59,11 @@
         self._world.set_behaviour("a-s0", servers.hang)
         await anyio.sleep(_HANG_S)
         late_s = [
-            at_s - since_s
-            for name, server, at_s in self._world.record.arrivals
-            if server == "a-s0"
-            and at_s > since_s
-            and self._world.record.requests[name].is_order
+            arrival.at_s - since_s
+            for arrival in self._world.record.arrivals
+            if arrival.server == "a-s0"
+            and arrival.at_s > since_s
+            and self._world.record.requests[arrival.request].is_order
         ]
         self._world.set_behaviour("a-s0", servers.answer)
         last_s = max(late_s, default=0.0)
@@ -100,9 +100,9 @@
         self._world.store.put("op/evacuate/b", {})
         await anyio.sleep(_ZONE_LIMIT_S)
         last_s = max(
-            at_s - since_s
-            for _, server, at_s in self._world.record.arrivals
-            if server.startswith("b-")
+            arrival.at_s - since_s
+            for arrival in self._world.record.arrivals
+            if arrival.server.startswith("b-")
         )
         self._world.store.delete("op/evacuate/b")
         self.note(
