Plant the faults of the review, which the tests have to notice

Eight plants, one for each fault that was mended. All are found by the tests named beside them. The plant is at the body's own check.

--- a/bench/plants.py
+++ b/bench/plants.py
@@ -44,6 +44,65 @@
 
 _SOURCE = "src/pomeloward/"
 _PLANTS = (
+    Plant(
+        "body-taken-from-its-reader",
+        _SOURCE + "entry/body.py",
+        "if reader != self._newest_reader:",
+        "if False:",
+        ("tests/entry/test_body.py",),
+    ),
+    Plant(
+        "relayed-without-its-body",
+        _SOURCE + "relay/peerrelay.py",
+        "may_repeat and request.body.can_replay and request.attempts_left > 0",
+        "may_repeat and request.attempts_left > 0",
+        ("tests/platform/test_relayedbodies.py",),
+    ),
+    Plant(
+        "entry-number-unbounded",
+        _SOURCE + "platform/targetentry.py",
+        "msgspec.Meta(le=1_000_000)",
+        "msgspec.Meta(ge=0)",
+        (
+            "tests/platform/test_decoding.py",
+            "tests/platform/test_storechanges.py",
+        ),
+    ),
+    Plant(
+        "large-policy-sent-whole",
+        _SOURCE + "replica/policytransfer.py",
+        "MAX_INLINE_BYTES = 512 * 1024",
+        "MAX_INLINE_BYTES = 2**40",
+        ("tests/replica/test_policytransfer.py",),
+    ),
+    Plant(
+        "error-of-a-task-ends-the-host",
+        _SOURCE + "edge/supervisor.py",
+        "        except Exception as error:  # noqa: BLE001\n",
+        "        except ZeroDivisionError as error:\n",
+        ("tests/edge/test_supervisor.py",),
+    ),
+    Plant(
+        "open-requests-cut-at-the-exit",
+        _SOURCE + "edge/edgeserver.py",
+        "            await components.open_requests.wait_until_none()\n",
+        "            pass\n",
+        ("tests/platform/test_hosts.py",),
+    ),
+    Plant(
+        "last-response-reset",
+        _SOURCE + "entry/connection.py",
+        "_LINGER_S = 1.0",
+        "_LINGER_S = 0.0",
+        ("tests/platform/test_lastresponses.py",),
+    ),
+    Plant(
+        "pool-closed-under-a-response",
+        _SOURCE + "relay/targetclient.py",
+        "                result.response.hold_link(link)\n",
+        "                pass\n",
+        ("tests/platform/test_targetfailures.py",),
+    ),
     Plant(
         "order-sent-twice",
         _SOURCE + "relay/forwarder.py",
