Wait for the last responses at the exit, and refuse what waits in time

Reading the change of the exit showed two gaps: a request that crossed the decision to exit and waited for a target was refused only when the host ran its last ticks, not while it ended its connections; and connections whose last response had just been written were aborted at once, with what hadn't left the process yet.

--- a/src/pomeloward/edge/edgeserver.py
+++ b/src/pomeloward/edge/edgeserver.py
@@ -38,6 +38,8 @@
 # A host without requests has nothing to measure. Most hosts of a large fleet
 # are in this state, so that their cost is that of their timers.
 _IDLE_TICK_INTERVAL_S = 0.5
+# How long the last responses have to reach their callers.
+_LAST_BYTES_S = 0.1
 # Without a request for this long a host is idle.
 _IDLE_AFTER_MS = 2_000.0
 # The settings file is polled for changes that no SIGHUP announces.
@@ -236,17 +238,24 @@
         for listener in listeners:
             listener.stop_accepting()
             listener.close_idle()
-        latest_ms = model.now_ms()
-        if self._shutdown is not None:
-            latest_ms = self._shutdown.latest_exit_ms
-        remaining_s = max(0.0, latest_ms - model.now_ms()) / 1_000
-        with anyio.move_on_after(remaining_s):
-            await components.open_requests.wait_until_none()
+        shutdown = self._shutdown
+        if shutdown is None:
+            return
+        for deadline_ms in (
+            shutdown.refuse_waiting_ms,
+            shutdown.latest_exit_ms,
+        ):
+            with anyio.CancelScope(deadline=deadline_ms / 1_000):
+                await components.open_requests.wait_until_none()
+            components.slot_allocator.refuse_all()
+        with anyio.move_on_after(_LAST_BYTES_S):
+            for listener in listeners:
+                await listener.wait_until_unused()
         eliot.log_message(
             message_type="exit",
             open_requests=components.open_requests.count,
             open_connections=sum(map(len, listeners)),
-            remaining_ms=round(latest_ms - model.now_ms()),
+            remaining_ms=round(shutdown.latest_exit_ms - model.now_ms()),
         )
 
     async def _tick_until_shutdown(
@@ -280,7 +289,7 @@
                 supervisor.log_task_failure("tick", error)
             if self._shutdown is None:
                 continue
-            if self._shutdown.refuses_waiting_requests(now_ms):
+            if now_ms >= self._shutdown.refuse_waiting_ms:
                 components.slot_allocator.refuse_all()
             if self._shutdown.refuses_long_requests(now_ms):
                 components.refuse_requests_beyond(
--- a/src/pomeloward/edge/httplistener.py
+++ b/src/pomeloward/edge/httplistener.py
@@ -49,6 +49,7 @@
         self._context = worker_context.WorkerContext(None)
         self._open_connections: set[entry.Connection] = set()
         self._server: asyncio.Server | None = None
+        self._last_closed = asyncio.Event()
 
     def __len__(self) -> int:
         return len(self._open_connections)
@@ -72,6 +73,12 @@
         for connection in list(self._open_connections):
             connection.close_if_idle()
 
+    async def wait_until_unused(self) -> None:
+        """Wait until no connection is open."""
+        while self._open_connections:
+            self._last_closed.clear()
+            await self._last_closed.wait()
+
     async def close(self) -> None:
         """Refuse new connections, close idle ones and abort the others."""
         self.stop_accepting()
@@ -102,6 +109,8 @@
             await connection.run()
         finally:
             self._open_connections.discard(connection)
+            if not self._open_connections:
+                self._last_closed.set()
 
 
 def _make_config(max_header_bytes: int) -> hypercorn.config.Config:
--- a/src/pomeloward/edge/shutdownschedule.py
+++ b/src/pomeloward/edge/shutdownschedule.py
@@ -15,12 +15,15 @@
 class ShutdownSchedule:
     """The deadlines of one graceful shutdown.
 
-    By ``latest_exit_ms`` the host exits, whatever is still open.
+    By ``latest_exit_ms`` the host exits, whatever is still open. From
+    ``refuse_waiting_ms`` on it refuses the requests that no target has got
+    yet: they have not run, which their callers should hear before the exit.
     """
 
     def __init__(self, started_ms: float, kill_after_ms: float) -> None:
         self._earliest_exit_ms = started_ms + MIN_DRAIN_MS
         self.latest_exit_ms = started_ms + kill_after_ms - _EXIT_RESERVE_MS
+        self.refuse_waiting_ms = self.latest_exit_ms - _REFUSAL_RESERVE_MS
 
     def should_exit(self, is_idle: bool, now_ms: float) -> bool:
         """Tell whether the host should exit now.
@@ -31,13 +34,6 @@
             now_ms >= self._earliest_exit_ms and is_idle
         )
 
-    def refuses_waiting_requests(self, now_ms: float) -> bool:
-        """Tell whether to refuse requests that no target has got yet.
-
-        They have not run, which their callers should hear before the exit.
-        """
-        return now_ms >= self.latest_exit_ms - _REFUSAL_RESERVE_MS
-
     def refuses_long_requests(self, now_ms: float) -> bool:
         """Tell whether to refuse requests that may not end before the exit.
 
