Check addresses of targets and of hosts in one place

Read once more as a newcomer would: the check of a target's address was the twin of the one for a member's host id, and only the newer one knew that ports end at 65,535. `model.is_endpoint` serves both now.

The bound on the digits of a version stood in two patterns that have to agree; it is a constant beside the type. Ending open look-ups asks `can_repeat`, which contains the check on the body that had been written again beside it.

--- a/src/pomeloward/fleet/member.py
+++ b/src/pomeloward/fleet/member.py
@@ -2,7 +2,6 @@
 
 import enum
 import functools
-import ipaddress
 
 import msgspec
 
@@ -67,12 +66,4 @@
         return -self.capacity_per_s, start_interval, self.host
 
 
-@functools.lru_cache(maxsize=4_096)
-def _is_endpoint(host: model.HostId) -> bool:
-    """Return whether a text is an IPv4 address and a port."""
-    ip_address, _, port = host.rpartition(":")
-    try:
-        ipaddress.IPv4Address(ip_address)
-    except ValueError:
-        return False
-    return port.isascii() and port.isdigit()
+_is_endpoint = functools.lru_cache(maxsize=4_096)(model.is_endpoint)
--- a/src/pomeloward/model/__init__.py
+++ b/src/pomeloward/model/__init__.py
@@ -3,6 +3,7 @@
 from pomeloward.model.answerrule import ANSWER_RULES as ANSWER_RULES
 from pomeloward.model.answerrule import AnswerRule as AnswerRule
 from pomeloward.model.clock import now_ms as now_ms
+from pomeloward.model.endpoint import is_endpoint as is_endpoint
 from pomeloward.model.errorkind import ErrorKind as ErrorKind
 from pomeloward.model.errors import ConfigurationError as ConfigurationError
 from pomeloward.model.errors import PeerProtocolError as PeerProtocolError
@@ -18,6 +19,7 @@
 from pomeloward.model.ids import Epoch as Epoch
 from pomeloward.model.ids import HostId as HostId
 from pomeloward.model.ids import Incarnation as Incarnation
+from pomeloward.model.ids import MAX_VERSION_DIGITS as MAX_VERSION_DIGITS
 from pomeloward.model.ids import PartitionId as PartitionId
 from pomeloward.model.ids import RegionId as RegionId
 from pomeloward.model.ids import RequestFingerprint as RequestFingerprint
--- a/src/pomeloward/model/ids.py
+++ b/src/pomeloward/model/ids.py
@@ -18,6 +18,8 @@
 PartitionId = typing.NewType("PartitionId", str)
 # Version of the configuration; it only increases.
 Version = typing.NewType("Version", int)
+# The runtime converts texts of up to 4,300 digits.
+MAX_VERSION_DIGITS = 4_000
 # Number of an ownership term of a partition; it only increases.
 Epoch = typing.NewType("Epoch", int)
 # Start time of a host's process in milliseconds since the Unix epoch; a later
--- a/src/pomeloward/platform/configuration.py
+++ b/src/pomeloward/platform/configuration.py
@@ -86,8 +86,7 @@
 
 
 _DECODER = msgspec.json.Decoder(_Configuration)
-# The runtime converts texts of up to 4,300 digits.
-_VERSION = re.compile(r"r([0-9]{1,4000})")
+_VERSION = re.compile(rf"r([0-9]{{1,{model.MAX_VERSION_DIGITS}}})")
 _MAX_QUOTED = 40
 # Values beyond these bounds have the effect of the bound. The store has
 # accepted them, so that they don't make the configuration invalid.
--- a/src/pomeloward/platform/targetentry.py
+++ b/src/pomeloward/platform/targetentry.py
@@ -1,6 +1,5 @@
 """Decodes the entries that targets register in the platform's store."""
 
-import ipaddress
 import re
 import typing
 
@@ -10,8 +9,6 @@
 from pomeloward import replica
 
 _KNOWN_STATES = frozenset({"ready", "draining"})
-_MAX_PORT = 65_535
-_PORT = re.compile(r"[0-9]{1,5}")
 # The id is sent to the target in a header.
 _ID = re.compile(r"[!-~]{1,200}")
 # Hosts compare and hash these numbers, and tell them to each other, as
@@ -59,7 +56,7 @@
         raise model.ConfigurationError(
             f"entry of {target_id}: {error}"
         ) from error
-    if not _is_address(entry.address):
+    if not model.is_endpoint(entry.address):
         raise model.ConfigurationError(
             f"entry of {target_id}: address {entry.address[:_MAX_QUOTED]!r} "
             "is not ip:port"
@@ -80,15 +77,3 @@
         started_ms=entry.born,
     )
     return replica.TargetChange(revision, target, entry.sequence)
-
-
-def _is_address(text: str) -> bool:
-    """Return whether a text is an IPv4 address and a port that exists."""
-    ip_address, _, port = text.rpartition(":")
-    if not _PORT.fullmatch(port) or not 0 < int(port) <= _MAX_PORT:
-        return False
-    try:
-        ipaddress.IPv4Address(ip_address)
-    except ValueError:
-        return False
-    return True
--- a/src/pomeloward/relay/directforwarder.py
+++ b/src/pomeloward/relay/directforwarder.py
@@ -76,9 +76,9 @@
             return
         is_silent = self._path_monitor.is_silent(model.now_ms())
         for scope, request in self._open_repeatable.items():
-            was_sent = request.run_evidence.proof is None
-            if not request.body.can_replay:
+            if not request.can_repeat:
                 continue
+            was_sent = request.run_evidence.proof is None
             if not was_sent or (is_silent and request.attempts_left > 0):
                 scope.cancel()
 
--- a/src/pomeloward/replica/policytransfer.py
+++ b/src/pomeloward/replica/policytransfer.py
@@ -22,7 +22,7 @@
 _PART_BYTES = 64 * 1024
 _PART_TIMEOUT_MS = 1_000.0
 _MAX_POLICY_BYTES = 32 * 1024 * 1024
-_VERSION_TEXT = re.compile(r"[0-9]{1,4000}")
+_VERSION_TEXT = re.compile(rf"[0-9]{{1,{model.MAX_VERSION_DIGITS}}}")
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(policies.Policy)
