Tell which connection an attempt used, and what came on it unasked

Callers got a success where a target had answered with a failure, and no line told the hypotheses apart: which connection an attempt used, how many requests it had carried, and what came behind an answer or while the connection was idle.

Links now use connections of the new package wire: h11 over a socket without a buffer of its own, in the pool of httpcore. An entry of "attempts" ends with the connection's local port, which the target sees too, and the number of the request on it. Lines connection:stray_bytes quote bytes that belong to no request, with the status and the id that they look like.

A stream of anyio keeps what was read beyond the asked size in a queue that nothing can look into, so that it could not be used for this.

--- a/src/pomeloward/dispatch/__init__.py
+++ b/src/pomeloward/dispatch/__init__.py
@@ -5,6 +5,7 @@
 from pomeloward.dispatch.dispatcher import Dispatcher as Dispatcher
 from pomeloward.dispatch.evidence import RunEvidence as RunEvidence
 from pomeloward.dispatch.failed import Failed as Failed
+from pomeloward.dispatch.failure import REQUEST_ID_HEADER as REQUEST_ID_HEADER
 from pomeloward.dispatch.head import announced_idle_ms as announced_idle_ms
 from pomeloward.dispatch.head import clean as clean
 from pomeloward.dispatch.head import HOP_BY_HOP as HOP_BY_HOP
@@ -19,3 +20,4 @@
 from pomeloward.dispatch.steps import SlotHold as SlotHold
 from pomeloward.dispatch.steps import SpareSlots as SpareSlots
 from pomeloward.dispatch.steps import Targets as Targets
+from pomeloward.dispatch.straylog import StrayLog as StrayLog
--- a/src/pomeloward/dispatch/attempt.py
+++ b/src/pomeloward/dispatch/attempt.py
@@ -6,6 +6,7 @@
 import anyio
 import httpx
 
+from pomeloward import wire
 from pomeloward.dispatch import failure as failures
 from pomeloward.dispatch import link as links
 from pomeloward.dispatch import outgoing
@@ -13,7 +14,6 @@
 from pomeloward.dispatch import steps
 
 DEADLINE_HEADER = b"pomeloward-deadline-ms"
-_FIRST_BYTE = "http11.send_request_headers.started"
 
 
 class _BodyStream(httpx.AsyncByteStream):
@@ -76,7 +76,7 @@
 
     async def _trace(self, event: str, info: dict[str, typing.Any]) -> None:
         """Check the permissions at the last moment before the first byte."""
-        if event != _FIRST_BYTE or self.is_sent:
+        if event != wire.SEND_STARTED or self.is_sent:
             return
         now_ms = anyio.current_time() * 1_000
         if not self.hold.is_valid(now_ms):
--- a/src/pomeloward/dispatch/link.py
+++ b/src/pomeloward/dispatch/link.py
@@ -13,7 +13,7 @@
     def __init__(
         self,
         url: str,
-        transport: httpx.AsyncHTTPTransport,
+        transport: httpx.AsyncBaseTransport,
         now_ms: float,
         max_idle_ms: float,
     ) -> None:
--- a/src/pomeloward/dispatch/links.py
+++ b/src/pomeloward/dispatch/links.py
@@ -1,5 +1,6 @@
 """Connections to targets, one pool per target."""
 
+import functools
 import math
 import ssl
 
@@ -7,8 +8,10 @@
 import httpx
 
 from pomeloward import model
+from pomeloward import wire
 from pomeloward.dispatch import link as links
 from pomeloward.dispatch import reachable
+from pomeloward.dispatch import straylog as straylogs
 
 # A pool closes idle connections only when it is asked for one. An unused
 # pool would keep connections that its target has long closed.
@@ -22,16 +25,20 @@
     The pool of httpx looks at each of its connections for each request,
     with a system call for each idle one; a pool for each target keeps that
     number small. The TLS context is shared, since building one takes more
-    than 10 ms. Connections leave from the host's own ``address``.
+    than 10 ms. Connections leave from the host's own ``address``, and
+    ``stray_log`` is told what comes on them beside answers.
     """
 
-    def __init__(self, target_idle_ms: float, address: str) -> None:
+    def __init__(
+        self,
+        target_idle_ms: float,
+        address: str,
+        stray_log: straylogs.StrayLog,
+    ) -> None:
         self._address = address
         self._target_idle_s = target_idle_ms / 1_000
+        self._stray_log = stray_log
         self._tls = ssl.create_default_context()
-        # The first transport imports httpcore, which takes 0.1 s; better
-        # here than in the first request.
-        httpx.AsyncHTTPTransport(verify=self._tls, trust_env=False)
         self._links: dict[model.TargetId, links.Link] = {}
         # Pools to former addresses of targets.
         self._former: list[links.Link] = []
@@ -59,16 +66,14 @@
         time if that is shorter.
         """
         idle_s = min(self._target_idle_s, idle_ms / 1_000)
-        limits = httpx.Limits(
-            max_connections=connections,
-            max_keepalive_connections=connections,
-            keepalive_expiry=idle_s,
-        )
-        transport = httpx.AsyncHTTPTransport(
-            verify=self._tls,
-            trust_env=False,
-            limits=limits,
-            local_address=self._address,
+        transport = wire.Transport(
+            connections,
+            wire.ConnectionSettings(
+                self._address,
+                self._tls,
+                idle_s,
+                functools.partial(self._stray_log.record, target.id),
+            ),
         )
         made = links.Link(target.url, transport, now_ms, idle_s * 1_000)
         former = self._links.get(target.id)
--- a/src/pomeloward/edge/hostcomponents.py
+++ b/src/pomeloward/edge/hostcomponents.py
@@ -96,11 +96,12 @@
             self._record_peer_state_age,
             self._handle_changed_membership,
         )
+        stray_log = dispatch.StrayLog(http_conventions.request_id_header)
         self.target_links = dispatch.Links(
-            _TARGET_IDLE_MS, host_settings.callers.ip_address
+            _TARGET_IDLE_MS, host_settings.callers.ip_address, stray_log
         )
         self.peer_links = dispatch.Links(
-            _PEER_IDLE_MS, host_settings.peers.ip_address
+            _PEER_IDLE_MS, host_settings.peers.ip_address, stray_log
         )
         self.open_requests = relay.OpenRequests()
         self._rate_limiter = quota.TeamRateLimiter(
--- a/src/pomeloward/gateway/assembly.py
+++ b/src/pomeloward/gateway/assembly.py
@@ -55,7 +55,9 @@
         limits = host_settings.limits
         if links is None:
             links = dispatch.Links(
-                limits.target_idle_ms, host_settings.address
+                limits.target_idle_ms,
+                host_settings.address,
+                dispatch.StrayLog(dispatch.REQUEST_ID_HEADER.encode("ascii")),
             )
         self._links = links
         self._dispatcher = dispatch.Dispatcher(
--- a/src/pomeloward/relay/attemptresult.py
+++ b/src/pomeloward/relay/attemptresult.py
@@ -4,6 +4,7 @@
 
 from pomeloward import balance
 from pomeloward import model
+from pomeloward import wire
 from pomeloward.relay import targetresponse
 
 
@@ -15,7 +16,7 @@
     if the attempt certainly did not run the request, and ``response`` if
     there is one that may be passed on. ``has_crashed_target`` tells
     that the target closed the connection instead of answering, and accepts
-    no other one.
+    no other one. ``connection_use`` is None if nothing was sent.
     """
 
     attempt: balance.Attempt
@@ -24,6 +25,7 @@
     not_run_proof: model.NotRunProof | None = None
     response: targetresponse.TargetResponse | None = None
     has_crashed_target: bool = False
+    connection_use: wire.ConnectionUse | None = None
 
     @property
     def is_success(self) -> bool:
--- a/src/pomeloward/relay/forwarder.py
+++ b/src/pomeloward/relay/forwarder.py
@@ -341,6 +341,8 @@
                     request, attempt, target, state.request.run_evidence
                 )
             outcome, detail = result.outcome, result.detail
+            if result.connection_use is not None:
+                detail += f" ({result.connection_use})"
             self._record_crash_or_survival(request, result)
             if result.response is not None:
                 body_rest = result.response.body_rest
--- a/src/pomeloward/relay/peerrelay.py
+++ b/src/pomeloward/relay/peerrelay.py
@@ -185,6 +185,8 @@
         finally:
             now_ms = model.now_ms()
             link.leave(now_ms)
+            if observer.connection_use is not None:
+                detail += f" ({observer.connection_use})"
             log_entry.attempts.append(
                 f"{peer.id} peer relayed {now_ms - started_ms:.0f}ms {detail}"
             )
--- a/src/pomeloward/relay/targetclient.py
+++ b/src/pomeloward/relay/targetclient.py
@@ -72,6 +72,21 @@
         ``run_evidence`` is told whether the request may have run.
         """
         send_observer = sendobserver.SendObserver(run_evidence)
+        result = await self._send_observed(
+            request, attempt, target, run_evidence, send_observer
+        )
+        result.connection_use = send_observer.connection_use
+        return result
+
+    async def _send_observed(
+        self,
+        request: admittedrequest.AdmittedRequest,
+        attempt: balance.Attempt,
+        target: replica.Target,
+        run_evidence: dispatch.RunEvidence,
+        send_observer: sendobserver.SendObserver,
+    ) -> attemptresult.AttemptResult:
+        """Send a request and classify how the attempt ended."""
         response: httpx.Response | None = None
         try:
             link = self._get_link(target)
--- /dev/null
+++ b/src/pomeloward/wire/connection.py
@@ -0,0 +1,318 @@
+"""A connection that carries one request after another."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import enum
+import math
+import ssl
+import typing
+
+import anyio
+import anyio.abc
+from anyio.streams import tls
+import h11
+import httpcore
+import httpx
+
+from pomeloward.wire import connectionuse
+from pomeloward.wire import socketstream
+from pomeloward.wire import straybytes
+
+_READ_BYTES = 65_536
+# Longer heads and chunk headers are errors.
+_MAX_HEAD_BYTES = 102_400
+
+_BROKEN = (anyio.BrokenResourceError, anyio.ClosedResourceError)
+_CONNECT_ERRORS = (OSError, anyio.BrokenResourceError, anyio.EndOfStream)
+
+_Trace = collections.abc.Callable[
+    [str, dict[str, typing.Any]], collections.abc.Awaitable[None]
+]
+
+
+class _State(enum.Enum):
+    NEW = enum.auto()
+    ACTIVE = enum.auto()
+    IDLE = enum.auto()
+    CLOSED = enum.auto()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionSettings:
+    """How the connections of a pool are opened and watched.
+
+    A connection isn't used again after it was idle for ``max_idle_s``.
+    """
+
+    local_address: str | None
+    tls_context: ssl.SSLContext
+    max_idle_s: float
+    on_stray: straybytes.StrayObserver
+
+
+class Connection(httpcore.AsyncConnectionInterface):
+    """Opens a connection with its first request, and keeps it after it.
+
+    Errors are those of httpx.
+    """
+
+    def __init__(
+        self, origin: httpcore.Origin, settings: ConnectionSettings
+    ) -> None:
+        self._origin = origin
+        self._settings = settings
+        self._state = _State.NEW
+        self._parser = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
+        )
+        self._socket: socketstream.SocketStream | None = None
+        self._stream: anyio.abc.ByteStream | None = None
+        self._use = connectionuse.ConnectionUse(0, 0)
+        self._expires_at_s = math.inf
+        self._read_timeout_s: float | None = None
+
+    async def handle_async_request(
+        self, request: httpcore.Request
+    ) -> httpcore.Response:
+        """Send a request and return the head of its answer."""
+        if self._state not in (_State.NEW, _State.IDLE):
+            raise httpcore.ConnectionNotAvailable
+        self._state = _State.ACTIVE
+        timeouts_s = request.extensions.get("timeout", {})
+        self._read_timeout_s = timeouts_s.get("read")
+        try:
+            if self._stream is None:
+                self._stream = await self._connect(timeouts_s.get("connect"))
+            self._use = connectionuse.ConnectionUse(
+                self._use.local_port, self._use.request_number + 1
+            )
+            await self._send(request, timeouts_s.get("write"))
+            head = await self._receive_head()
+        except BaseException:
+            with anyio.CancelScope(shield=True):
+                await self.aclose()
+            raise
+        return httpcore.Response(
+            head.status_code,
+            headers=head.headers.raw_items(),
+            content=_Body(self),
+            extensions={
+                "http_version": b"HTTP/" + head.http_version,
+                "reason_phrase": head.reason,
+            },
+        )
+
+    async def receive_body(self) -> collections.abc.AsyncIterator[bytes]:
+        """Iterate over the body of the answer."""
+        while True:
+            event = await self._receive_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage) or event is h11.PAUSED:
+                return
+
+    async def end_exchange(self) -> None:
+        """Keep the connection if the answer has ended, or close it."""
+        self._report_behind_answer()
+        is_complete = (
+            self._parser.our_state is h11.DONE
+            and self._parser.their_state is h11.DONE
+        )
+        if not is_complete:
+            await self.aclose()
+            return
+        self._parser.start_next_cycle()
+        self._state = _State.IDLE
+        self._expires_at_s = anyio.current_time() + self._settings.max_idle_s
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        if self._state is _State.IDLE:
+            self._report_idle_bytes()
+        self._state = _State.CLOSED
+        stream = self._stream or self._socket
+        if stream is not None:
+            await stream.aclose()
+
+    def can_handle_request(self, origin: httpcore.Origin) -> bool:
+        """Return whether the connection is to an origin."""
+        return origin == self._origin
+
+    def is_available(self) -> bool:
+        """Return whether the connection may get a request."""
+        return self._state is _State.IDLE
+
+    def has_expired(self) -> bool:
+        """Return whether an idle connection must not be used again.
+
+        Nothing may come while it is idle but its end.
+        """
+        return self._state is _State.IDLE and (
+            anyio.current_time() > self._expires_at_s
+            or self._socket is None
+            or self._socket.has_unread()
+        )
+
+    def is_idle(self) -> bool:
+        """Return whether the connection carries no request."""
+        return self._state is _State.IDLE
+
+    def is_closed(self) -> bool:
+        """Return whether the connection has ended."""
+        return self._state is _State.CLOSED
+
+    def info(self) -> str:
+        """Return a text about the connection."""
+        return f"{self._use} {self._state.name}"
+
+    async def _connect(self, timeout_s: float | None) -> anyio.abc.ByteStream:
+        host = self._origin.host.decode("ascii")
+        try:
+            with anyio.fail_after(timeout_s):
+                self._socket = await socketstream.connect(
+                    host, self._origin.port, self._settings.local_address
+                )
+                self._use = connectionuse.ConnectionUse(
+                    self._socket.local_port, 0
+                )
+                if self._origin.scheme != b"https":
+                    return self._socket
+                return await tls.TLSStream.wrap(
+                    self._socket,
+                    hostname=host,
+                    ssl_context=self._settings.tls_context,
+                    standard_compatible=False,
+                )
+        except TimeoutError as error:
+            raise httpx.ConnectTimeout("no connection in time") from error
+        except _CONNECT_ERRORS as error:
+            raise httpx.ConnectError(str(error)) from error
+
+    async def _send(
+        self, request: httpcore.Request, timeout_s: float | None
+    ) -> None:
+        trace: _Trace | None = request.extensions.get("trace")
+        if trace is not None:
+            await trace(connectionuse.SEND_STARTED, {"use": self._use})
+        assert isinstance(request.stream, collections.abc.AsyncIterable)
+        with _translated_protocol_errors(httpx.LocalProtocolError):
+            head = h11.Request(
+                method=request.method,
+                target=request.url.target,
+                headers=request.headers,
+            )
+            try:
+                await self._send_event(head, timeout_s)
+                async for chunk in request.stream:
+                    await self._send_event(h11.Data(data=chunk), timeout_s)
+                await self._send_event(h11.EndOfMessage(), timeout_s)
+            except httpx.WriteError:
+                # The other end may have answered before it closed.
+                return
+
+    async def _send_event(
+        self, event: h11.Event, timeout_s: float | None
+    ) -> None:
+        data = self._parser.send(event)
+        if not data:
+            return
+        assert self._stream is not None
+        try:
+            with anyio.fail_after(timeout_s):
+                await self._stream.send(data)
+        except TimeoutError as error:
+            raise httpx.WriteTimeout("the request wasn't taken") from error
+        except _BROKEN as error:
+            raise httpx.WriteError("the connection broke") from error
+
+    async def _receive_head(self) -> h11.Response | h11.InformationalResponse:
+        """Return the head of the final answer, or of a protocol switch."""
+        while True:
+            event = await self._receive_event()
+            if isinstance(event, h11.Response):
+                return event
+            if (
+                isinstance(event, h11.InformationalResponse)
+                and event.status_code == httpx.codes.SWITCHING_PROTOCOLS
+            ):
+                return event
+
+    async def _receive_event(self) -> h11.Event | type[h11.PAUSED]:
+        while True:
+            with _translated_protocol_errors(httpx.RemoteProtocolError):
+                event = self._parser.next_event()
+                if event is not h11.NEED_DATA:
+                    return typing.cast("h11.Event", event)
+                data = await self._read()
+                if not data and self._parser.their_state is h11.SEND_RESPONSE:
+                    raise httpx.RemoteProtocolError(
+                        "the connection was closed without an answer"
+                    )
+                self._parser.receive_data(data)
+
+    async def _read(self) -> bytes:
+        assert self._stream is not None
+        try:
+            with anyio.fail_after(self._read_timeout_s):
+                return await self._stream.receive(_READ_BYTES)
+        except anyio.EndOfStream:
+            return b""
+        except TimeoutError as error:
+            raise httpx.ReadTimeout("nothing came in time") from error
+        except _BROKEN as error:
+            raise httpx.ReadError("the connection broke") from error
+
+    def _report_behind_answer(self) -> None:
+        data, _ = self._parser.trailing_data
+        if data and self._parser.their_state is not h11.SEND_BODY:
+            self._report(straybytes.Place.BEHIND_ANSWER, data)
+
+    def _report_idle_bytes(self) -> None:
+        if self._socket is None or not self._socket.has_unread():
+            return
+        data = self._socket.read_available(straybytes.MAX_INSPECTED_BYTES)
+        if data:
+            self._report(straybytes.Place.IDLE, data)
+
+    def _report(self, place: straybytes.Place, data: bytes) -> None:
+        self._settings.on_stray(
+            straybytes.StrayBytes(
+                self._use,
+                place,
+                len(data),
+                data[: straybytes.MAX_INSPECTED_BYTES],
+            )
+        )
+
+
+class _Body:
+    """The body of an answer; its end is that of the exchange."""
+
+    def __init__(self, connection: Connection) -> None:
+        self._connection = connection
+        self._is_closed = False
+
+    async def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
+        try:
+            async for chunk in self._connection.receive_body():
+                yield chunk
+        except BaseException:
+            with anyio.CancelScope(shield=True):
+                await self.aclose()
+            raise
+
+    async def aclose(self) -> None:
+        if not self._is_closed:
+            self._is_closed = True
+            await self._connection.end_exchange()
+
+
+@contextlib.contextmanager
+def _translated_protocol_errors(
+    error_type: type[httpx.ProtocolError],
+) -> collections.abc.Iterator[None]:
+    try:
+        yield
+    except (h11.LocalProtocolError, h11.RemoteProtocolError) as error:
+        raise error_type(str(error)) from error
--- a/tests/dispatch/test_links.py
+++ b/tests/dispatch/test_links.py
@@ -8,9 +8,12 @@
 from pomeloward import model
 from pomeloward.dispatch import head
 from pomeloward.dispatch import links
+from pomeloward.dispatch import straylog
 
 pytestmark = pytest.mark.anyio
 
+_STRAY_LOG = straylog.StrayLog(b"x-request-id")
+
 
 def _target(url="http://127.0.0.1:1"):
     return catalog.Target(
@@ -24,7 +27,7 @@
 
 async def test_idle_pool_is_closed_and_used_one_kept():
     """Guards against sockets that pile up, and against cut downloads."""
-    kept = links.Links(4_000.0, "127.0.0.1")
+    kept = links.Links(4_000.0, "127.0.0.1", _STRAY_LOG)
     link = kept.make(_target(), 4, 0.0)
     link.enter(0.0)
     await kept.sweep(100_000.0)
@@ -38,7 +41,7 @@
 
 async def test_moved_target_gets_a_new_pool():
     """Guards against requests to a target's former address."""
-    kept = links.Links(4_000.0, "127.0.0.1")
+    kept = links.Links(4_000.0, "127.0.0.1", _STRAY_LOG)
     kept.make(_target(), 4, anyio.current_time())
     assert kept.find(_target("http://127.0.0.1:2")) is None
 
--- a/tests/platform/test_logs.py
+++ b/tests/platform/test_logs.py
@@ -114,3 +114,24 @@
             }
     (line,) = log.lines_of_type(lines, "configuration")
     assert (line["era"], line["revision"]) == (1, revisions["op/config"])
+
+
+async def test_line_tells_of_a_second_answer_on_an_idle_connection(world):
+    """Guards against wrong answers whose cause no line tells."""
+    with log.captured_lines() as lines:
+        async with world.running(names=("s1",)):
+            world.servers["s1"].behave = servers.answer_twice
+            response = await world.get("/safe/")
+            await anyio.sleep(0.1)
+            await world.get("/safe/")
+    first = next(
+        line
+        for line in log.lines_of_type(lines, "request")
+        if line["request"] == response.headers["x-request-id"]
+    )
+    stray = log.lines_of_type(lines, "connection:stray_bytes")[0]
+    assert (stray["server"], stray["place"]) == ("s1", "idle")
+    assert (stray["request"], stray["status"]) == (first["request"], 200)
+    assert first["attempts"][0].endswith(
+        f"(connection {stray['connection']} request 1)"
+    )
--- a/tests/platform/test_relayedbodies.py
+++ b/tests/platform/test_relayedbodies.py
@@ -98,7 +98,9 @@
     async with anyio.create_task_group() as tasks:
         for peer in peers:
             await tasks.start(serving.serve, peer, peer.port)
-        links = dispatch.Links(5_000.0, "127.0.0.1")
+        links = dispatch.Links(
+            5_000.0, "127.0.0.1", dispatch.StrayLog(b"x-request-id")
+        )
         peer_relay = relay.PeerRelay(
             links,
             platform.HTTP_CONVENTIONS.between_hosts(),
