Use no connection again on which bytes lie behind an answer

Cause: whether a connection is used again was decided by the state of the parser and by the socket. What had already been read behind an answer stayed in the parser, and became the start of the next answer. Where it was a part of a second answer, the two heads were read as one, with the status of the former answer.

Change: a connection is closed if anything lies behind an answer, or has come when the next request is about to be sent, and each answer gets a parser of its own. A part that comes later than that, when the request is on its way, can't be seen in time; so a head with a second status line in its reason or in a header is an error instead of an answer.

Ruled out: a look at the socket alone, which is what was done before; it sees parts that come while a connection is idle, and no others.

--- a/src/pomeloward/wire/connection.py
+++ b/src/pomeloward/wire/connection.py
@@ -16,6 +16,7 @@
 import httpx
 
 from pomeloward.wire import connectionuse
+from pomeloward.wire import responsehead
 from pomeloward.wire import socketstream
 from pomeloward.wire import straybytes
 
@@ -63,9 +64,7 @@
         self._origin = origin
         self._settings = settings
         self._state = _State.NEW
-        self._parser = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
-        )
+        self._parser = _make_parser()
         self._socket: socketstream.SocketStream | None = None
         self._stream: anyio.abc.ByteStream | None = None
         self._use = connectionuse.ConnectionUse(0, 0)
@@ -78,6 +77,9 @@
         """Send a request and return the head of its answer."""
         if self._state not in (_State.NEW, _State.IDLE):
             raise httpcore.ConnectionNotAvailable
+        if self.has_expired():
+            await self.aclose()
+            raise httpcore.ConnectionNotAvailable
         self._state = _State.ACTIVE
         timeouts_s = request.extensions.get("timeout", {})
         self._read_timeout_s = timeouts_s.get("read")
@@ -113,16 +115,22 @@
                 return
 
     async def end_exchange(self) -> None:
-        """Keep the connection if the answer has ended, or close it."""
-        self._report_behind_answer()
+        """Keep the connection if the answer was all that came on it.
+
+        What lies behind the answer would be taken for a part of the next
+        one.
+        """
+        unread, _ = self._parser.trailing_data
         is_complete = (
             self._parser.our_state is h11.DONE
             and self._parser.their_state is h11.DONE
         )
-        if not is_complete:
+        if unread and self._parser.their_state is not h11.SEND_BODY:
+            self._report(straybytes.Place.BEHIND_ANSWER, unread)
+        if unread or not is_complete:
             await self.aclose()
             return
-        self._parser.start_next_cycle()
+        self._parser = _make_parser()
         self._state = _State.IDLE
         self._expires_at_s = anyio.current_time() + self._settings.max_idle_s
 
@@ -226,15 +234,16 @@
         except _BROKEN as error:
             raise httpx.WriteError("the connection broke") from error
 
-    async def _receive_head(self) -> h11.Response | h11.InformationalResponse:
+    async def _receive_head(self) -> responsehead.Head:
         """Return the head of the final answer, or of a protocol switch."""
         while True:
             event = await self._receive_event()
-            if isinstance(event, h11.Response):
-                return event
+            if not isinstance(event, responsehead.Head):
+                continue
+            responsehead.check(event)
             if (
-                isinstance(event, h11.InformationalResponse)
-                and event.status_code == httpx.codes.SWITCHING_PROTOCOLS
+                isinstance(event, h11.Response)
+                or event.status_code == httpx.codes.SWITCHING_PROTOCOLS
             ):
                 return event
 
@@ -263,11 +272,6 @@
         except _BROKEN as error:
             raise httpx.ReadError("the connection broke") from error
 
-    def _report_behind_answer(self) -> None:
-        data, _ = self._parser.trailing_data
-        if data and self._parser.their_state is not h11.SEND_BODY:
-            self._report(straybytes.Place.BEHIND_ANSWER, data)
-
     def _report_idle_bytes(self) -> None:
         if self._socket is None or not self._socket.has_unread():
             return
@@ -308,6 +312,12 @@
             await self._connection.end_exchange()
 
 
+def _make_parser() -> h11.Connection:
+    return h11.Connection(
+        h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
+    )
+
+
 @contextlib.contextmanager
 def _translated_protocol_errors(
     error_type: type[httpx.ProtocolError],
--- /dev/null
+++ b/src/pomeloward/wire/responsehead.py
@@ -0,0 +1,23 @@
+"""Checks heads of answers for parts of a second one."""
+
+import re
+
+import h11
+import httpx
+
+# A parser takes a status line behind an unfinished reason or header for a
+# part of that text.
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+
+Head = h11.Response | h11.InformationalResponse
+
+
+def check(head: Head) -> None:
+    """Raise ``httpx.RemoteProtocolError`` if a head consists of two.
+
+    For example ``HTTP/1.1 200 OHTTP/1.1 500 Error`` has the status of an
+    answer that broke off, and the headers of the one behind it.
+    """
+    texts = [head.reason, *(value for _, value in head.headers.raw_items())]
+    if any(_STATUS_LINE.search(text) for text in texts):
+        raise httpx.RemoteProtocolError("the head has two status lines")
--- a/tests/wire/scriptedserver.py
+++ b/tests/wire/scriptedserver.py
@@ -13,11 +13,12 @@
     """Writes ``scripts[n]`` for the n-th request of each connection.
 
     A script is a list of byte strings and of pauses in seconds. An empty
-    one closes the connection.
+    one closes the connection. With ``closes`` it is closed after the last.
     """
 
-    def __init__(self, *scripts):
+    def __init__(self, *scripts, closes=False):
         self.scripts = scripts
+        self.closes = closes
         self.connections = 0
         self.requests = []
         self.port = 0
@@ -52,7 +53,8 @@
                             await stream.send(step)
                         else:
                             await anyio.sleep(step)
-            await anyio.sleep_forever()
+            if not self.closes:
+                await anyio.sleep_forever()
 
 
 class Caller:
