Send no request on a connection that has carried its id before

Suspected, not seen by callers: where a request reaches a target twice over one connection (a caller that repeats an id, a request that comes back through another host), the id can't tell a second answer to the first from the answer to the second. It would be passed on as such.

Change: a connection remembers the ids that it has carried. A request with one of them goes on another connection, and a connection ends after 256 requests, which bounds what is remembered.

Measured: test_connection_carries_no_id_twice fails before, as all three requests go on one connection.

Weighed: to forget ids after a time; a target may answer a second time at any time later.

--- a/src/pomeloward/wire/connection.py
+++ b/src/pomeloward/wire/connection.py
@@ -24,6 +24,8 @@
 _READ_BYTES = 65_536
 # Longer heads and chunk headers are errors.
 _MAX_HEAD_BYTES = 102_400
+# Bounds what is kept of the ids of former requests.
+_MAX_REQUESTS = 256
 # Answers to other requests are read up to so many bytes in all.
 _MAX_FOREIGN_BYTES = 65_536
 _FOREIGN_ANSWER_TEXT = "an answer to another request does not end"
@@ -74,6 +76,7 @@
         self._stream: anyio.abc.ByteStream | None = None
         self._use = connectionuse.ConnectionUse(0, 0)
         self._has_foreign_answer = False
+        self._carried_ids: set[bytes] = set()
         self._expires_at_s = math.inf
         self._read_timeout_s: float | None = None
 
@@ -81,11 +84,10 @@
         self, request: httpcore.Request
     ) -> httpcore.Response:
         """Send a request and return the head of its answer."""
-        if self._state not in (_State.NEW, _State.IDLE):
-            raise httpcore.ConnectionNotAvailable
-        if self.has_expired():
-            await self.aclose()
-            raise httpcore.ConnectionNotAvailable
+        identity: requestidentity.RequestIdentity | None = (
+            request.extensions.get(requestidentity.IDENTITY_EXTENSION)
+        )
+        await self._check_availability(identity)
         self._state = _State.ACTIVE
         timeouts_s = request.extensions.get("timeout", {})
         self._read_timeout_s = timeouts_s.get("read")
@@ -96,7 +98,7 @@
                 self._use.local_port, self._use.request_number + 1
             )
             await self._send(request, timeouts_s.get("write"))
-            head = await self._receive_own_head(request)
+            head = await self._receive_own_head(request, identity)
         except BaseException:
             with anyio.CancelScope(shield=True):
                 await self.aclose()
@@ -133,7 +135,12 @@
         )
         if unread and self._parser.their_state is not h11.SEND_BODY:
             self._report(straybytes.Place.BEHIND_ANSWER, unread)
-        if unread or self._has_foreign_answer or not is_complete:
+        if (
+            unread
+            or not is_complete
+            or self._has_foreign_answer
+            or self._use.request_number >= _MAX_REQUESTS
+        ):
             await self.aclose()
             return
         self._parser = _make_parser()
@@ -180,6 +187,26 @@
         """Return a text about the connection."""
         return f"{self._use} {self._state.name}"
 
+    async def _check_availability(
+        self, identity: requestidentity.RequestIdentity | None
+    ) -> None:
+        """Raise ``httpcore.ConnectionNotAvailable`` if a request can't be sent.
+
+        The pool then sends it on another connection.
+        """
+        if self._state not in (_State.NEW, _State.IDLE):
+            raise httpcore.ConnectionNotAvailable
+        # A second answer to a former request with the same id would be taken
+        # for the answer to this one.
+        is_repeated = (
+            identity is not None and identity.request_id in self._carried_ids
+        )
+        if is_repeated or self.has_expired():
+            await self.aclose()
+            raise httpcore.ConnectionNotAvailable
+        if identity is not None:
+            self._carried_ids.add(identity.request_id)
+
     async def _connect(self, timeout_s: float | None) -> anyio.abc.ByteStream:
         host = self._origin.host.decode("ascii")
         try:
@@ -241,16 +268,15 @@
             raise httpx.WriteError("the connection broke") from error
 
     async def _receive_own_head(
-        self, request: httpcore.Request
+        self,
+        request: httpcore.Request,
+        identity: requestidentity.RequestIdentity | None,
     ) -> responsehead.Head:
         """Return the head of the answer to a request.
 
         A late second answer to a former request may come before it.
         """
         head = await self._receive_head()
-        identity: requestidentity.RequestIdentity | None = (
-            request.extensions.get(requestidentity.IDENTITY_EXTENSION)
-        )
         skipped_bytes = 0
         while identity is not None and not identity.is_in(
             head.headers.raw_items()
