Read the store over connections that keep no bytes behind a response

The same cause as for answers of targets, looked for elsewhere: what lay behind a response of the store stayed in the parser and became the start of the next one. Not seen by the users. With a part of a response behind the first one, the test gets RemoteProtocolError for the second; cut elsewhere, the era of one response would be that of the next.

Change: the client of the store uses connections of wire, and its stray bytes are logged with "store" in place of a target's id. The store's responses have no ids, so that a whole second response that comes when the next request is on its way can't be told from the answer to it.

Measured: test_second_response_of_the_store_is_not_read_as_the_next fails before and passes.

--- a/src/pomeloward/dispatch/straylog.py
+++ b/src/pomeloward/dispatch/straylog.py
@@ -11,17 +11,19 @@
 class StrayLog:
     """Writes a line for stray bytes, with the answer that they look like.
 
-    ``request_id_header`` is in lower case.
+    ``request_id_header`` is in lower case, and None where answers have no id.
     """
 
-    def __init__(self, request_id_header: bytes) -> None:
+    def __init__(self, request_id_header: bytes | None = None) -> None:
         self._request_id_header = request_id_header
 
     def record(
         self, server_id: model.TargetId, stray: wire.StrayBytes
     ) -> None:
         """Log stray bytes from a target or host."""
-        request_id = stray.find_header(self._request_id_header) or b""
+        request_id = b""
+        if self._request_id_header is not None:
+            request_id = stray.find_header(self._request_id_header) or b""
         eliot.log_message(
             message_type="connection:stray_bytes",
             server=server_id,
--- a/src/pomeloward/platform/httpstoreclient.py
+++ b/src/pomeloward/platform/httpstoreclient.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import functools
 import typing
 
 import anyio
@@ -9,9 +10,11 @@
 import httpx
 import msgspec
 
+from pomeloward import dispatch
 from pomeloward import model
 from pomeloward import replica
 from pomeloward import settings
+from pomeloward import wire
 from pomeloward.platform import configuration
 from pomeloward.platform import targetentry
 
@@ -24,6 +27,10 @@
 _SILENCE_TIMEOUT_S = 0.7
 # A page with the largest value takes seconds on a host's slowest link.
 _RESPONSE_TIMEOUT_S = 6.0
+_MAX_CONNECTIONS = 4
+_MAX_IDLE_S = 5.0
+# The store's name in lines on its connections.
+_STORE = model.TargetId("store")
 _MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 # Larger numbers don't leave room for the store's own revision.
 _MAX_ERA = 2**22
@@ -78,6 +85,7 @@
     def __init__(self, endpoint: settings.Endpoint) -> None:
         self._url = f"http://{endpoint.ip_address}:{endpoint.port}"
         self._client: httpx.AsyncClient | None = None
+        self._stray_log = dispatch.StrayLog()
 
     async def read_snapshot(self) -> replica.ReadResult:
         """Return everything in the store, at the first page's revision.
@@ -169,13 +177,26 @@
                 f"invalid response from {path}: {error}"
             ) from error
 
+    def _make_transport(self) -> wire.Transport:
+        return wire.Transport(
+            _MAX_CONNECTIONS,
+            wire.ConnectionSettings(
+                local_address=None,
+                tls_context=None,
+                max_idle_s=_MAX_IDLE_S,
+                on_stray=functools.partial(self._stray_log.record, _STORE),
+            ),
+        )
+
     async def _get(
         self, path: str, query: dict[str, str]
     ) -> tuple[httpx.Response, bytes]:
         """Return the response to a GET request, and its body."""
         if self._client is None:
             self._client = httpx.AsyncClient(
-                trust_env=False, timeout=_SILENCE_TIMEOUT_S
+                transport=self._make_transport(),
+                trust_env=False,
+                timeout=_SILENCE_TIMEOUT_S,
             )
         body = bytearray()
         async with self._client.stream(
--- a/src/pomeloward/wire/connection.py
+++ b/src/pomeloward/wire/connection.py
@@ -49,11 +49,13 @@
 class ConnectionSettings:
     """How the connections of a pool are opened and watched.
 
-    A connection isn't used again after it was idle for ``max_idle_s``.
+    Without ``local_address`` the system chooses one, and without
+    ``tls_context`` connections by TLS use the system's certificates. A
+    connection isn't used again after it was idle for ``max_idle_s``.
     """
 
     local_address: str | None
-    tls_context: ssl.SSLContext
+    tls_context: ssl.SSLContext | None
     max_idle_s: float
     on_stray: straybytes.StrayObserver
 
@@ -190,9 +192,9 @@
     async def _check_availability(
         self, identity: requestidentity.RequestIdentity | None
     ) -> None:
-        """Raise ``httpcore.ConnectionNotAvailable`` if a request can't be sent.
+        """Raise ``httpcore.ConnectionNotAvailable`` for some requests.
 
-        The pool then sends it on another connection.
+        The pool sends them on another connection.
         """
         if self._state not in (_State.NEW, _State.IDLE):
             raise httpcore.ConnectionNotAvailable
--- a/tests/platform/test_storeclient.py
+++ b/tests/platform/test_storeclient.py
@@ -7,6 +7,7 @@
 
 from pomeloward import model
 from pomeloward import platform
+from pomeloward import replica
 from pomeloward import settings
 
 pytestmark = pytest.mark.anyio
@@ -88,3 +89,21 @@
     async with _store_that(serve) as client:
         with pytest.raises(model.PlatformUnavailable):
             await client.read_snapshot()
+
+
+async def test_second_response_of_the_store_is_not_read_as_the_next():
+    """A part of one response changed the status and era of the next one."""
+    counts = {}
+
+    async def serve(stream):
+        number = counts[id(stream)] = counts.get(id(stream), 0) + 1
+        era = b"Store-Era: %d" % number
+        response = _head(len(_BODY), era) + _BODY
+        await stream.send(
+            response + response[:40] if number == 1 else response
+        )
+
+    async with _store_that(serve) as client:
+        for _ in range(3):
+            result = await client.read_snapshot()
+            assert replica.era_of(result.revision) == 1
