Let the callers of a test end with the order that they keep a host open for

Cause: 60 requests in a row keep the stopping host open until the late order comes, 3.4 s after the stop. Beside load they take 5.5 s (three runs at load averages of 25 to 30), and the host has exited at the end of its grace.

Change: the requests end when the late order has been sent. What is asked of the host is the same, and it is kept open at least as long as before until that order.

--- a/tests/platform/test_hosts.py
+++ b/tests/platform/test_hosts.py
@@ -185,9 +185,10 @@
         await anyio.sleep(1.0)
         world.nodes["n1"].start_shutdown()
         statuses, cut = [], []
+        has_sent_late_order = anyio.Event()
 
         async def keep_open():
-            for _ in range(60):
+            while not has_sent_late_order.is_set():
                 await world.get("/safe/")
                 await anyio.sleep(0.05)
 
@@ -206,6 +207,7 @@
             await anyio.sleep(3.4)
             world.servers["s1"].behave = answer_after_the_grace
             tasks.start_soon(order_late)
+            has_sent_late_order.set()
             await anyio.sleep(0.2)
             world.servers["s1"].behave = servers.answer
         assert not cut
