Bound the time in which an answer to another request is skipped

Behind an answer to a former request that is cut in its body, an attempt waited until its deadline for the rest (504 after 1 s); ended it at once. So did a failure without an id as the first answer of a connection.

Change: the body of an answer that is skipped has 0.1 s to come. The first request of a connection skips none, as there is no former one. An answer that announces the close is skipped like others; the own one behind it was lost before, on too.

--- a/src/pomeloward/wire/connection.py
+++ b/src/pomeloward/wire/connection.py
@@ -27,6 +27,7 @@
 _MAX_REQUESTS = 256
 # Answers to other requests are read up to so many bytes in all.
 _MAX_FOREIGN_BYTES = 65_536
+_FOREIGN_BODY_TIMEOUT_S = 0.1
 _FOREIGN_ANSWER_TEXT = "an answer to another request does not end"
 
 _DEFAULT_PORTS = {b"http": 80, b"https": 443}
@@ -255,9 +256,12 @@
         """
         head = await self._receive_head()
         skipped_bytes = 0
+        is_first = self._use.request_number == 1
         while identity is not None and not identity.is_in(
             head.headers.raw_items()
         ):
+            if is_first:
+                raise httpx.RemoteProtocolError("the answer has another id")
             self._has_foreign_answer = True
             skipped_bytes += await self._skip_foreign_answer(
                 request, head, _MAX_FOREIGN_BYTES - skipped_bytes
@@ -278,12 +282,15 @@
         self._report(straybytes.Place.BEFORE_ANSWER, head_bytes)
         if not responsehead.has_known_length(request.method, head):
             raise httpx.RemoteProtocolError(_FOREIGN_ANSWER_TEXT)
-        async for chunk in self.receive_body():
-            byte_count += len(chunk)
-            if byte_count > limit:
-                break
+        # The rest of a part of an answer would never come.
+        with anyio.move_on_after(_FOREIGN_BODY_TIMEOUT_S) as scope:
+            async for chunk in self.receive_body():
+                byte_count += len(chunk)
+                if byte_count > limit:
+                    break
         behind, _ = self._parser.trailing_data
-        if byte_count > limit or self._parser.their_state is not h11.DONE:
+        has_ended = self._parser.their_state in (h11.DONE, h11.MUST_CLOSE)
+        if scope.cancelled_caught or byte_count > limit or not has_ended:
             raise httpx.RemoteProtocolError(_FOREIGN_ANSWER_TEXT)
         self._parser = _make_parser()
         self._parser.send(
