Let pomeloward-host take no answer or proof of another request

A late second answer to a request was passed on as the answer to the next one on the connection, although its id says otherwise, and a second proof for one cancelled request was taken as the proof for the next, which may run twice then.

Change: an attempt of pomeloward-host skips answers with another request's id. Its targets repeat the id in refusals only, so that an answer without one is still taken. A cancellation goes on a connection of its own, as its answer has no id.

--- a/src/pomeloward/dispatch/attempt.py
+++ b/src/pomeloward/dispatch/attempt.py
@@ -70,7 +70,15 @@
             request.target_path,
             headers,
             _BodyStream(request.body),
-            {"timeout": timeout, "trace": self._trace},
+            {
+                "timeout": timeout,
+                "trace": self._trace,
+                wire.IDENTITY_EXTENSION: wire.RequestIdentity(
+                    failures.REQUEST_ID_HEADER.encode("ascii"),
+                    request.id.encode("ascii"),
+                    is_required=False,
+                ),
+            },
         )
         return await self.link.transport.handle_async_request(sent)
 
--- a/src/pomeloward/dispatch/cancellation.py
+++ b/src/pomeloward/dispatch/cancellation.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from pomeloward import model
+from pomeloward import wire
 from pomeloward.dispatch import link as links
 
 # Part of the targets' published contract: the request is cancelled by its
@@ -26,7 +27,12 @@
     outgoing = httpx.Request(
         "DELETE",
         link.base.join(_PATH + request),
-        extensions={"timeout": dict.fromkeys(_TIMEOUTS, _WAIT_S)},
+        headers={"connection": "close"},
+        # Its answer has no id, so that no other one may come beside it.
+        extensions={
+            "timeout": dict.fromkeys(_TIMEOUTS, _WAIT_S),
+            wire.NEW_CONNECTION_EXTENSION: True,
+        },
     )
     with anyio.move_on_after(_WAIT_S, shield=True):
         try:
