Tell a planned stop from a failure in the lines of peers

Cause: a stopping host leaves the connections that it dialled by cancellation, and the library then closes with 1011. Those it accepted end with 1001, but also after an error of the host, as the library closes its server so.

Change: a host that stops announces it to its peers object, at `drain`. When the connections are cancelled afterwards, both kinds are closed with 1001 and the reason "host is stopping". The lines peer:closed and peer:disconnected have a field `is_stop`, which is true for this code and reason only, on the side that closed and on the other. A host that ends by an error, a connection to a silent peer and malformed frames keep their codes and reasons.

Older builds read the new reason as a part of the text.

Ruled out: the code 1001 alone as the mark of a stop, since a host that ends by an error closes its accepted connections with it.

--- a/src/pomeloward/edge/edgeserver.py
+++ b/src/pomeloward/edge/edgeserver.py
@@ -135,6 +135,7 @@
         self._components.app.is_draining = True
         self._components.relay_app.is_draining = True
         self._components.heartbeats.set_state(fleet.MemberState.DRAINING)
+        self._components.peers.announce_stop()
         eliot.log_message(
             message_type="drain",
             open_requests=self._components.open_requests.count,
--- a/src/pomeloward/gateway/fleet.py
+++ b/src/pomeloward/gateway/fleet.py
@@ -141,6 +141,11 @@
         """Tell the other hosts this host's state at once."""
         self._roll.state = state
         self._heartbeats.send()
+        if (
+            state is model.HostState.DRAINING
+            and self._websocket_peers is not None
+        ):
+            self._websocket_peers.announce_stop()
 
     async def hand_over(self) -> None:
         """Give the host's partitions to successors."""
--- a/src/pomeloward/peer/acceptor.py
+++ b/src/pomeloward/peer/acceptor.py
@@ -11,6 +11,7 @@
 from pomeloward import model
 from pomeloward.peer import connection
 from pomeloward.peer import connectioncontext
+from pomeloward.peer import connectionend
 from pomeloward.peer import dialer
 from pomeloward.peer import handshake
 from pomeloward.peer import identity
@@ -44,7 +45,14 @@
             close_timeout=dialer.CONNECT_TIMEOUT_S,
             ping_interval=None,
         ) as listener:
-            yield next(iter(listener.sockets)).getsockname()[1]
+            try:
+                yield next(iter(listener.sockets)).getsockname()[1]
+            finally:
+                if self._context.is_stopping:
+                    listener.close(
+                        code=connectionend.STOP_CODE,
+                        reason=connectionend.STOP_REASON,
+                    )
 
     async def _serve_connection(
         self, websocket: server.ServerConnection
@@ -63,14 +71,17 @@
                 reason=str(error),
             )
             return
-        reason = await connection.Connection(
+        end = await connection.Connection(
             self._context,
             websocket,
             peer_identity.host,
             sendqueue.SendQueue(),
         ).run()
         eliot.log_message(
-            message_type="peer:closed", peer=peer_identity.host, reason=reason
+            message_type="peer:closed",
+            peer=peer_identity.host,
+            reason=end.reason,
+            is_stop=end.is_stop,
         )
 
     async def _authenticate(
--- a/src/pomeloward/peer/connection.py
+++ b/src/pomeloward/peer/connection.py
@@ -7,6 +7,7 @@
 
 from pomeloward import model
 from pomeloward.peer import connectioncontext
+from pomeloward.peer import connectionend
 from pomeloward.peer import message
 from pomeloward.peer import sendqueue
 from pomeloward.peer import wireformat
@@ -27,14 +28,14 @@
         self._peer_host = peer_host
         self._send_queue = send_queue
 
-    async def run(self) -> str:
-        """Send and receive until the connection ends; return the reason."""
-        reason = "ended"
+    async def run(self) -> connectionend.ConnectionEnd:
+        """Send and receive until the connection ends; return why it did."""
+        end = connectionend.ConnectionEnd("ended")
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._send_all)
-            reason = await self._receive_all()
+            end = await self._receive_all()
             tasks.cancel_scope.cancel()
-        return reason
+        return end
 
     async def _send_all(self) -> None:
         try:
@@ -47,7 +48,7 @@
                     await anyio.sleep(delay_ms / 1000)
                 await self._send_frame()
         except websockets.ConnectionClosed:
-            # _receive_all returns the reason why the connection ended.
+            # _receive_all returns why the connection ended.
             return
 
     async def _send_frame(self) -> None:
@@ -66,7 +67,7 @@
             )
         )
 
-    async def _receive_all(self) -> str:
+    async def _receive_all(self) -> connectionend.ConnectionEnd:
         try:
             while True:
                 self._dispatch_frame(await self._websocket.recv())
@@ -77,9 +78,9 @@
                 reason=str(error),
             )
             await self._websocket.close(1002, "protocol error")
-            return str(error)
+            return connectionend.ConnectionEnd(str(error))
         except websockets.ConnectionClosed as error:
-            return str(error)
+            return connectionend.from_closed(error)
 
     def _dispatch_frame(self, frame: bytes | str) -> None:
         if not isinstance(frame, bytes):
--- a/src/pomeloward/peer/connectioncontext.py
+++ b/src/pomeloward/peer/connectioncontext.py
@@ -23,7 +23,10 @@
 
 @dataclasses.dataclass(slots=True)
 class ConnectionContext:
-    """Identity, fleet secret, counters and pending requests of a host."""
+    """Identity, fleet secret, counters and pending requests of a host.
+
+    ``is_stopping`` tells that the host ends by a planned stop.
+    """
 
     own_identity: identity.Identity
     fleet_secret: bytes = dataclasses.field(repr=False)
@@ -32,6 +35,7 @@
     traffic_counters: trafficcounters.TrafficCounters
     pending_requests: pendingrequests.PendingRequests
     dispatcher: messagedispatcher.MessageDispatcher
+    is_stopping: bool = False
 
     def try_enqueue(
         self,
--- a/src/pomeloward/peer/dialer.py
+++ b/src/pomeloward/peer/dialer.py
@@ -11,6 +11,7 @@
 from pomeloward.peer import backoff
 from pomeloward.peer import connection
 from pomeloward.peer import connectioncontext
+from pomeloward.peer import connectionend
 from pomeloward.peer import handshake
 from pomeloward.peer import sendqueue
 from pomeloward.peer import wireformat
@@ -51,14 +52,15 @@
         while True:
             await self.send_queue.wait_until_nonempty()
             # The reason if reconnect() cancels the scope.
-            reason = "silent"
+            end = connectionend.ConnectionEnd("silent")
             with anyio.CancelScope() as self._connection_scope:
-                reason = await self._connect_once()
+                end = await self._connect_once()
             self._drop_queue_and_fail_requests()
             eliot.log_message(
                 message_type="peer:disconnected",
                 peer=self._peer_host,
-                reason=reason,
+                reason=end.reason,
+                is_stop=end.is_stop,
             )
             await anyio.sleep(self._backoff.next_delay_ms() / 1000)
 
@@ -67,17 +69,21 @@
         if self._connection_scope is not None:
             self._connection_scope.cancel()
 
-    async def _connect_once(self) -> str:
+    async def _connect_once(self) -> connectionend.ConnectionEnd:
         address = self._context.address_resolver.peer_address(self._peer_host)
         if address is None:
-            return "no address is known for the host"
+            return connectionend.ConnectionEnd(
+                "no address is known for the host"
+            )
         if (
             self._context.fault_injector.message_delay_ms(
                 self._context.own_identity.host, self._peer_host
             )
             is None
         ):
-            return "fault injection drops messages to the host"
+            return connectionend.ConnectionEnd(
+                "fault injection drops messages to the host"
+            )
         try:
             return await self._run_connection(*address)
         except (
@@ -86,13 +92,17 @@
             websockets.WebSocketException,
             model.PeerProtocolError,
         ) as error:
-            return f"{type(error).__name__}: {error}"
+            return connectionend.from_error(error)
         # An error with one peer must not end the connections to the others.
         except Exception as error:  # noqa: BLE001
             eliot.write_traceback()
-            return f"internal error: {type(error).__name__}"
+            return connectionend.ConnectionEnd(
+                f"internal error: {type(error).__name__}"
+            )
 
-    async def _run_connection(self, ip_address: str, port: int) -> str:
+    async def _run_connection(
+        self, ip_address: str, port: int
+    ) -> connectionend.ConnectionEnd:
         async with client.connect(
             _websocket_uri(ip_address, port),
             compression=None,
@@ -105,18 +115,38 @@
             ping_interval=PING_INTERVAL_S,
             ping_timeout=PING_TIMEOUT_S,
         ) as websocket:
-            with anyio.fail_after(CONNECT_TIMEOUT_S):
-                await handshake.authenticate_as_client(
-                    websocket.send,
-                    websocket.recv,
-                    self._context.fleet_secret,
-                    self._context.own_identity,
-                    self._peer_host,
-                )
-            self._backoff.reset()
-            return await connection.Connection(
-                self._context, websocket, self._peer_host, self.send_queue
-            ).run()
+            try:
+                return await self._use_connection(websocket)
+            except anyio.get_cancelled_exc_class():
+                # The library closes with 1011 after a cancellation.
+                if self._is_stopping():
+                    await websocket.close(
+                        connectionend.STOP_CODE, connectionend.STOP_REASON
+                    )
+                raise
+
+    async def _use_connection(
+        self, websocket: client.ClientConnection
+    ) -> connectionend.ConnectionEnd:
+        with anyio.fail_after(CONNECT_TIMEOUT_S):
+            await handshake.authenticate_as_client(
+                websocket.send,
+                websocket.recv,
+                self._context.fleet_secret,
+                self._context.own_identity,
+                self._peer_host,
+            )
+        self._backoff.reset()
+        return await connection.Connection(
+            self._context, websocket, self._peer_host, self.send_queue
+        ).run()
+
+    def _is_stopping(self) -> bool:
+        """Return whether a stop ends the connection, and no reconnect."""
+        return self._context.is_stopping and not (
+            self._connection_scope is not None
+            and self._connection_scope.cancel_called
+        )
 
     def _drop_queue_and_fail_requests(self) -> None:
         for queued in self.send_queue.pop_all():
--- a/src/pomeloward/peer/websocketpeers.py
+++ b/src/pomeloward/peer/websocketpeers.py
@@ -141,6 +141,13 @@
         if existing_dialer is not None:
             existing_dialer.reconnect()
 
+    def announce_stop(self) -> None:
+        """Tell peers of a planned stop when ``run`` is cancelled.
+
+        Without it, the connections end as after an error.
+        """
+        self._context.is_stopping = True
+
     def register_handler(
         self,
         message_type: type[message.Message],
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -5,6 +5,7 @@
 import hashlib
 
 import anyio
+import eliot
 import httpx
 import hypercorn.asyncio
 import hypercorn.config
@@ -172,3 +173,44 @@
         head = {"version": 2, "snapshot_version": 1, "shards": 1}
         _publish(source, "head", head)
         await _until(lambda: all_answer("addresses", 401), 3.0)
+
+
+async def test_planned_stop_is_not_logged_as_a_failure_by_peers():
+    lines = []
+    eliot.add_destinations(lines.append)
+    try:
+        async with (
+            _fleet() as (_, gateways, urls),
+            httpx.AsyncClient(timeout=2.0) as caller,
+        ):
+
+            async def all_are_ready():
+                for url in urls:
+                    try:
+                        response = await caller.get(url + "ready")
+                    except httpx.HTTPError:
+                        return False
+                    if response.status_code != 200:
+                        return False
+                return True
+
+            await _until(all_are_ready, 15.0)
+            assert not any(line.get("is_stop") for line in lines)
+            gateways[3].stop()
+
+            async def both_ends_are_logged():
+                stops = [line for line in lines if line.get("is_stop")]
+                return {
+                    line["message_type"]
+                    for line in stops
+                    if line["peer"] == "h3"
+                } == {"peer:closed", "peer:disconnected"}
+
+            await _until(both_ends_are_logged, 8.0)
+            assert not [
+                line
+                for line in lines
+                if line.get("peer") == "h3" and "1011" in line["reason"]
+            ]
+    finally:
+        eliot.remove_destination(lines.append)
--- a/tests/platform/test_logs.py
+++ b/tests/platform/test_logs.py
@@ -135,3 +135,27 @@
     assert first["attempts"][0].endswith(
         f"(connection {stray['connection']} request 1)"
     )
+
+
+async def test_lines_tell_the_stop_of_a_host_from_a_failure(world):
+    """Stops and failures of hosts read the same in an incident."""
+    with log.captured_lines() as lines:
+        async with world.running(nodes=("n1", "n2"), names=("s1",)):
+            await anyio.sleep(0.5)
+            world.nodes["n1"].start_shutdown()
+            with anyio.fail_after(8):
+                while True:
+                    await anyio.sleep(0.1)
+                    if log.lines_of_type(lines, "stop"):
+                        break
+            await anyio.sleep(0.1)
+    host = log.lines_of_type(lines, "stop")[0]["host"]
+    ends = [
+        line
+        for line in lines
+        if line["message_type"] in ("peer:closed", "peer:disconnected")
+        and line["peer"] == host
+        and "received" in line["reason"]
+    ]
+    assert ends
+    assert [line["is_stop"] for line in ends] == [True] * len(ends)
