Count stray bytes by their place

Operators saw second answers of targets only by reading the lines of each host, which a host drops above 500 a second.

Change: `pomeloward_stray_bytes_total{place}` counts the findings that lines connection:stray_bytes tell of, on hosts of both kinds. It counts findings and not bytes, as one read may have a part of an answer only.

--- a/src/pomeloward/dispatch/straylog.py
+++ b/src/pomeloward/dispatch/straylog.py
@@ -1,8 +1,9 @@
-"""Logs bytes on connections that belong to no request."""
+"""Logs and counts bytes on connections that belong to no request."""
 
 import eliot
 
 from pomeloward import model
+from pomeloward import observability
 from pomeloward import wire
 
 _MAX_QUOTED_BYTES = 80
@@ -11,16 +12,24 @@
 class StrayLog:
     """Writes a line for stray bytes, with the answer that they look like.
 
+    ``pomeloward_stray_bytes_total`` counts the findings, not the bytes.
+
     ``request_id_header`` is in lower case.
     """
 
-    def __init__(self, request_id_header: bytes) -> None:
+    def __init__(
+        self, request_id_header: bytes, metrics: observability.Metrics
+    ) -> None:
         self._request_id_header = request_id_header
+        self._metrics = metrics
 
     def record(
         self, server_id: model.TargetId, stray: wire.StrayBytes
     ) -> None:
-        """Log stray bytes from a target or host."""
+        """Log and count stray bytes from a target or host."""
+        self._metrics.increment(
+            "pomeloward_stray_bytes_total", (("place", stray.place.value),)
+        )
         request_id = stray.find_header(self._request_id_header) or b""
         eliot.log_message(
             message_type="connection:stray_bytes",
--- a/src/pomeloward/edge/hostcomponents.py
+++ b/src/pomeloward/edge/hostcomponents.py
@@ -96,7 +96,9 @@
             self._record_peer_state_age,
             self._handle_changed_membership,
         )
-        stray_log = dispatch.StrayLog(http_conventions.request_id_header)
+        stray_log = dispatch.StrayLog(
+            http_conventions.request_id_header, self.metrics
+        )
         self.target_links = dispatch.Links(
             _TARGET_IDLE_MS, host_settings.callers.ip_address, stray_log
         )
--- a/src/pomeloward/gateway/assembly.py
+++ b/src/pomeloward/gateway/assembly.py
@@ -57,7 +57,9 @@
             links = dispatch.Links(
                 limits.target_idle_ms,
                 host_settings.address,
-                dispatch.StrayLog(dispatch.REQUEST_ID_HEADER.encode("ascii")),
+                dispatch.StrayLog(
+                    dispatch.REQUEST_ID_HEADER.encode("ascii"), self.metrics
+                ),
             )
         self._links = links
         self._dispatcher = dispatch.Dispatcher(
--- a/tests/dispatch/test_links.py
+++ b/tests/dispatch/test_links.py
@@ -6,13 +6,14 @@
 
 from pomeloward import catalog
 from pomeloward import model
+from pomeloward import observability
 from pomeloward.dispatch import head
 from pomeloward.dispatch import links
 from pomeloward.dispatch import straylog
 
 pytestmark = pytest.mark.anyio
 
-_STRAY_LOG = straylog.StrayLog(b"x-request-id")
+_STRAY_LOG = straylog.StrayLog(b"x-request-id", observability.Metrics())
 
 
 def _target(url="http://127.0.0.1:1"):
--- a/tests/platform/test_logs.py
+++ b/tests/platform/test_logs.py
@@ -124,6 +124,9 @@
             response = await world.get("/safe/")
             await anyio.sleep(0.1)
             await world.get("/safe/")
+            metrics = await world.client.get(
+                world.url("n1", "metrics") + "/metrics"
+            )
     first = next(
         line
         for line in log.lines_of_type(lines, "request")
@@ -135,6 +138,8 @@
     assert first["attempts"][0].endswith(
         f"(connection {stray['connection']} request 1)"
     )
+    # The second answer to the second request may be counted too.
+    assert 'pomeloward_stray_bytes_total{place="idle"} ' in metrics.text
 
 
 async def test_lines_tell_the_stop_of_a_host_from_a_failure(world):
--- a/tests/platform/test_relayedbodies.py
+++ b/tests/platform/test_relayedbodies.py
@@ -8,6 +8,7 @@
 from pomeloward import dispatch
 from pomeloward import entry
 from pomeloward import model
+from pomeloward import observability
 from pomeloward import platform
 from pomeloward import relay
 from pomeloward.relay import requestlogentry
@@ -99,7 +100,9 @@
         for peer in peers:
             await tasks.start(serving.serve, peer, peer.port)
         links = dispatch.Links(
-            5_000.0, "127.0.0.1", dispatch.StrayLog(b"x-request-id")
+            5_000.0,
+            "127.0.0.1",
+            dispatch.StrayLog(b"x-request-id", observability.Metrics()),
         )
         peer_relay = relay.PeerRelay(
             links,
