Tell why an answer could not be read

Operators saw only the class RemoteProtocolError where an attempt had failed, and could not tell two answers read as one from a closed connection.

Change: the entry of `attempts` has the error's text behind the class, for targets and for hosts that a request is relayed to, up to 80 characters, such as "RemoteProtocolError: illegal header line with HTTP/1.1 500". The refusal that the caller gets and `reason` in the line have the class only, as before.

h11 quotes the line that it can't read, up to 100 KiB of it, and that may be a body in which a target repeats what its caller sent. Of a quote only the status lines are kept, so that neither the log nor any other user of the error gets more. Errors while sending (LocalProtocolError) may quote the caller's own headers, and stay without text.

Ruled out: the quote cut to a length, which keeps what a target repeats of a short order; the lines connection:stray_bytes are the ones that quote.

--- a/src/pomeloward/relay/forwarder.py
+++ b/src/pomeloward/relay/forwarder.py
@@ -340,9 +340,7 @@
                 result = await self._target_client.send(
                     request, attempt, target, state.request.run_evidence
                 )
-            outcome, detail = result.outcome, result.detail
-            if result.connection_use is not None:
-                detail += f" ({result.connection_use})"
+            outcome, detail = result.outcome, result.log_detail
             self._record_crash_or_survival(request, result)
             if result.response is not None:
                 body_rest = result.response.body_rest
--- a/src/pomeloward/relay/peerrelay.py
+++ b/src/pomeloward/relay/peerrelay.py
@@ -14,6 +14,7 @@
 from pomeloward import wire
 from pomeloward.dispatch import outgoing
 from pomeloward.relay import admittedrequest
+from pomeloward.relay import errortext
 from pomeloward.relay import forwarding
 from pomeloward.relay import httpconventions
 from pomeloward.relay import noticereader
@@ -176,7 +177,7 @@
             peer_response.hold_link(link)
             return expression.Ok(peer_response)
         except (httpx.HTTPError, entry.BodyNotReadable) as error:
-            detail = type(error).__name__
+            detail = errortext.describe(error)
             return _fail(model.ErrorKind.TARGET_FAILED)
         finally:
             now_ms = model.now_ms()
--- a/src/pomeloward/relay/targetclient.py
+++ b/src/pomeloward/relay/targetclient.py
@@ -15,6 +15,7 @@
 from pomeloward.dispatch import outgoing
 from pomeloward.relay import admittedrequest
 from pomeloward.relay import attemptresult
+from pomeloward.relay import errortext
 from pomeloward.relay import httpconventions
 from pomeloward.relay import noticereader
 from pomeloward.relay import pathprobe
@@ -288,7 +289,10 @@
     error_name = type(error).__name__
     if is_sent:
         return attemptresult.AttemptResult(
-            attempt, balance.Outcome.ERROR, error_name
+            attempt,
+            balance.Outcome.ERROR,
+            error_name,
+            error_text=errortext.describe(error),
         )
     not_run_proof = model.NotRunProof(model.NotRunReason.NOT_SENT, error_name)
     return attemptresult.AttemptResult(
--- a/src/pomeloward/wire/connection.py
+++ b/src/pomeloward/wire/connection.py
@@ -16,6 +16,7 @@
 import httpx
 
 from pomeloward.wire import connectionuse
+from pomeloward.wire import errortext
 from pomeloward.wire import requestidentity
 from pomeloward.wire import responsehead
 from pomeloward.wire import socketstream
@@ -386,4 +387,4 @@
     try:
         yield
     except (h11.LocalProtocolError, h11.RemoteProtocolError) as error:
-        raise error_type(str(error)) from error
+        raise error_type(errortext.describe(error)) from error
--- a/tests/platform/test_logs.py
+++ b/tests/platform/test_logs.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from tests.platform import fleet
 from tests.platform import log
 from tests.platform import server as servers
 
@@ -164,3 +165,45 @@
     ]
     assert ends
     assert [line["is_stop"] for line in ends] == [True] * len(ends)
+
+
+_LONG_HEADER = "x" * 300
+
+
+@pytest.mark.parametrize(
+    ("answer", "text"),
+    [
+        (
+            "HTTP/1.1 200 OHTTP/1.1 500 X\r\n\r\n",
+            "the head has two status lines",
+        ),
+        (
+            "HTTP/1.1 200 OK\r\nHTTP/1.1 500 X\r\n\r\n",
+            "illegal header line with HTTP/1.1 500",
+        ),
+        ("{body} {key}\r\n\r\n", "illegal status line"),
+        (f"{_LONG_HEADER}\r\n\r\n", "illegal status line"),
+    ],
+)
+async def test_line_tells_why_an_answer_was_no_answer(world, answer, text):
+    """An attempt's end told the class of its error only."""
+
+    async def break_off(server, stream, request, headers):
+        await stream.send(
+            answer.format(body="bytes-of-the-caller", key=fleet.KEY).encode()
+        )
+
+    with log.captured_lines() as lines:
+        async with world.running(names=("s1",)):
+            world.servers["s1"].behave = break_off
+            response = await world.request(
+                "POST", "/order/", content=b"bytes-of-the-caller"
+            )
+    assert response.status_code == 502
+    assert response.json()["detail"] == "RemoteProtocolError"
+    (line,) = log.lines_of_type(lines, "request")
+    assert line["reason"] == "target_failed: RemoteProtocolError"
+    (attempt,) = line["attempts"]
+    assert f" RemoteProtocolError: {text} (connection " in attempt
+    assert "bytes-of-the-caller" not in repr(lines)
+    assert fleet.KEY not in repr(lines)
--- a/tests/platform/test_relayedbodies.py
+++ b/tests/platform/test_relayedbodies.py
@@ -147,3 +147,60 @@
         pass
     assert await _relay((peer,), request) is None
     assert peer.bodies == []
+
+
+class _BrokenPeer:
+    """Answers with a line that is none of an answer."""
+
+    def __init__(self):
+        self.port = serving.steady_port()
+
+    def endpoint(self):
+        return relay.PeerEndpoint(
+            model.TargetId("broken"), f"http://127.0.0.1:{self.port}"
+        )
+
+    async def serve(self, *, task_status):
+        listener = await anyio.create_tcp_listener(
+            local_host="127.0.0.1", local_port=self.port
+        )
+        async with listener:
+            task_status.started()
+            await listener.serve(self._answer)
+
+    async def _answer(self, stream):
+        async with stream:
+            received = b""
+            while not received.endswith(b"0\r\n\r\n"):
+                received += await stream.receive()
+            await stream.send(b"of a caller HTTP/1.1 500 X\r\n\r\n")
+
+
+async def test_attempt_tells_why_the_answer_of_a_peer_was_none():
+    """An attempt's end told the class of its error only."""
+    peer = _BrokenPeer()
+    request, _ = _make_request(_CHUNK_BYTES, False)
+    log_entry = requestlogentry.RequestLogEntry(request.id, 0.0)
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(peer.serve)
+        links = dispatch.Links(
+            5_000.0,
+            "127.0.0.1",
+            dispatch.StrayLog(b"x-request-id", observability.Metrics()),
+        )
+        peer_relay = relay.PeerRelay(
+            links,
+            platform.HTTP_CONVENTIONS.between_hosts(),
+            lambda: [peer.endpoint()],
+            lambda target_id, notice: None,
+        )
+        result = await peer_relay.try_forward(request, log_entry)
+        await links.aclose()
+        tasks.cancel_scope.cancel()
+    (attempt,) = log_entry.attempts
+    assert (
+        " RemoteProtocolError: illegal status line with HTTP/1.1 500 "
+        "(connection " in attempt
+    )
+    assert "of a caller" not in attempt
+    assert "HTTP/1.1" not in result.error.detail
