--- a/tests/platform/test_logs.py
+++ b/tests/platform/test_logs.py
@@ -156,6 +156,9 @@
                         break
             await anyio.sleep(0.1)
     host = log.lines_of_type(lines, "stop")[0]["host"]
+    (drain_line,) = log.lines_of_type(lines, "drain")
+    (exit_line,) = log.lines_of_type(lines, "exit")
+    assert drain_line["open_requests"] == exit_line["open_requests"] == 0
     ends = [
         line
         for line in lines
--- a/tests/platform/test_relayedbodies.py
+++ b/tests/platform/test_relayedbodies.py
@@ -198,6 +198,7 @@
         await links.aclose()
         tasks.cancel_scope.cancel()
     (attempt,) = log_entry.attempts
+    assert attempt.startswith("broken peer relayed ")
     assert (
         " RemoteProtocolError: illegal status line with HTTP/1.1 500 "
         "(connection " in attempt
