--- a/tests/platform/test_logs.py
+++ b/tests/platform/test_logs.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from tests.platform import fleet
 from tests.platform import log
 from tests.platform import server as servers
 
@@ -126,6 +127,9 @@
             response = await world.get("/safe/")
             await anyio.sleep(0.1)
             await world.get("/safe/")
+            metrics = await world.client.get(
+                world.url("n1", "metrics") + "/metrics"
+            )
     first = next(
         line
         for line in log.lines_of_type(lines, "request")
@@ -137,3 +141,74 @@
     assert first["attempts"][0].endswith(
         f"(connection {stray['connection']} request 1)"
     )
+    # The second answer to the second request may be counted too.
+    assert 'pomeloward_stray_bytes_total{place="idle"} ' in metrics.text
+
+
+async def test_lines_tell_the_stop_of_a_host_from_a_failure(world):
+    """Stops and failures of hosts read the same in an incident."""
+    with log.captured_lines() as lines:
+        async with world.running(nodes=("n1", "n2"), names=("s1",)):
+            await anyio.sleep(0.5)
+            world.nodes["n1"].start_shutdown()
+            with anyio.fail_after(8):
+                while True:
+                    await anyio.sleep(0.1)
+                    if log.lines_of_type(lines, "stop"):
+                        break
+            await anyio.sleep(0.1)
+    host = log.lines_of_type(lines, "stop")[0]["host"]
+    (drain_line,) = log.lines_of_type(lines, "drain")
+    (exit_line,) = log.lines_of_type(lines, "exit")
+    assert drain_line["open_requests"] == exit_line["open_requests"] == 0
+    ends = [
+        line
+        for line in lines
+        if line["message_type"] in ("peer:closed", "peer:disconnected")
+        and line["peer"] == host
+        and "received" in line["reason"]
+    ]
+    assert ends
+    assert [line["is_stop"] for line in ends] == [True] * len(ends)
+
+
+_LONG_HEADER = "x" * 300
+
+
+@pytest.mark.parametrize(
+    ("answer", "text"),
+    [
+        (
+            "HTTP/1.1 200 OHTTP/1.1 500 X\r\n\r\n",
+            "the head has two status lines",
+        ),
+        (
+            "HTTP/1.1 200 OK\r\nHTTP/1.1 500 X\r\n\r\n",
+            "illegal header line with HTTP/1.1 500",
+        ),
+        ("{body} {key}\r\n\r\n", "illegal status line"),
+        (f"{_LONG_HEADER}\r\n\r\n", "illegal status line"),
+    ],
+)
+async def test_line_tells_why_an_answer_was_no_answer(world, answer, text):
+    """An attempt's end told the class of its error only."""
+
+    async def break_off(server, stream, request, headers):
+        await stream.send(
+            answer.format(body="bytes-of-the-caller", key=fleet.KEY).encode()
+        )
+
+    with log.captured_lines() as lines:
+        async with world.running(names=("s1",)):
+            world.servers["s1"].behave = break_off
+            response = await world.request(
+                "POST", "/order/", content=b"bytes-of-the-caller"
+            )
+    assert response.status_code == 502
+    assert response.json()["detail"] == "RemoteProtocolError"
+    (line,) = log.lines_of_type(lines, "request")
+    assert line["reason"] == "target_failed: RemoteProtocolError"
+    (attempt,) = line["attempts"]
+    assert f" RemoteProtocolError: {text} (connection " in attempt
+    assert "bytes-of-the-caller" not in repr(lines)
+    assert fleet.KEY not in repr(lines)
