Bound the interim answers to one request

Callers of a sound service got no answer while a target of another service sent interim answers without end: the host read them until the deadlines of their requests, and its event loop did little else.

Change: an attempt fails when interim answers exceed 64 KiB in all. It may have run, so that an order gets 502 and isn't sent again.

Ruled out: a bound on their number, as a target may send many short ones.

--- a/src/pomeloward/wire/connection.py
+++ b/src/pomeloward/wire/connection.py
@@ -26,6 +26,9 @@
 _MAX_HEAD_BYTES = 102_400
 # Answers to other requests are read up to so many bytes in all.
 _MAX_FOREIGN_BYTES = 65_536
+# As many bytes of interim answers to one request are accepted. Endless ones
+# would keep the event loop busy until the deadline.
+_MAX_INTERIM_BYTES = 65_536
 _FOREIGN_ANSWER_TEXT = "an answer to another request does not end"
 
 _BROKEN = (anyio.BrokenResourceError, anyio.ClosedResourceError)
@@ -297,6 +300,7 @@
 
     async def _receive_head(self) -> responsehead.Head:
         """Return the head of the final answer, or of a protocol switch."""
+        interim_bytes = 0
         while True:
             event = await self._receive_event()
             if not isinstance(event, responsehead.Head):
@@ -307,6 +311,9 @@
                 or event.status_code == httpx.codes.SWITCHING_PROTOCOLS
             ):
                 return event
+            interim_bytes += len(responsehead.format_head(event))
+            if interim_bytes > _MAX_INTERIM_BYTES:
+                raise httpx.RemoteProtocolError("interim answers do not end")
 
     async def _receive_event(self) -> h11.Event | type[h11.PAUSED]:
         while True:
