Bound the sum of what a host holds of answers

A faulty target sent bodies without end, and the host that had called it ran out of memory; the requests of other clients ended with it.

Cause: each answer was bounded by 256 KiB, and their sum was not. Bodies that are discarded were collected before they were dropped.

Change: answers count what is buffered of them in HeldBytes until it was passed on, or the answer was closed. The answers of failed attempts and of peers that refuse are closed on all paths. Bodies go to callers in parts of 8 KiB. Lines answers:passed_on and answers:buffered tell of changes, and pomeloward_held_response_bytes of the sum.

The constructors of TargetClient and PeerRelay take the limit, so that two tests pass it as well; what they check is unchanged.

--- a/src/pomeloward/edge/hostcomponents.py
+++ b/src/pomeloward/edge/hostcomponents.py
@@ -134,6 +134,7 @@
         self.path_watcher = relay.PathWatcher(
             self._path_monitor, path_probe, self.metrics
         )
+        held_bytes = relay.HeldBytes(logevents.log_held_bytes)
         self._relay_endpoint = host_settings.relay
         target_client = relay.TargetClient(
             self.target_links,
@@ -142,6 +143,7 @@
             self._handle_target_notice,
             target_probe,
             path_probe,
+            held_bytes,
         )
         forwarder = relay.Forwarder(
             self.slot_allocator,
@@ -166,6 +168,7 @@
                     http_conventions.between_hosts(),
                     self._find_relay_peers,
                     self._handle_target_notice,
+                    held_bytes,
                 ),
                 self._path_monitor,
                 retry_budgets,
@@ -201,6 +204,9 @@
         self.metrics.register_gauge(
             "pomeloward_waiting", self.slot_allocator.waiting_count
         )
+        self.metrics.register_gauge(
+            "pomeloward_held_response_bytes", lambda: held_bytes.byte_count
+        )
         self.metrics.register_gauge(
             "pomeloward_limited_targets",
             lambda: target_limits.limited_count,
--- a/src/pomeloward/edge/logevents.py
+++ b/src/pomeloward/edge/logevents.py
@@ -58,6 +58,16 @@
     eliot.log_message(message_type="path:lost" if is_lost else "path:regained")
 
 
+def log_held_bytes(is_exhausted: bool, byte_count: int) -> None:
+    """Log that answers are passed on as they arrive, or buffered again."""
+    eliot.log_message(
+        message_type="answers:passed_on"
+        if is_exhausted
+        else "answers:buffered",
+        held_bytes=byte_count,
+    )
+
+
 def log_quarantine(
     fingerprint: model.RequestFingerprint,
     crash_count: int,
--- a/src/pomeloward/relay/__init__.py
+++ b/src/pomeloward/relay/__init__.py
@@ -5,6 +5,7 @@
 from pomeloward.relay.application import Application as Application
 from pomeloward.relay.directforwarder import DirectForwarder as DirectForwarder
 from pomeloward.relay.forwarder import Forwarder as Forwarder
+from pomeloward.relay.heldbytes import HeldBytes as HeldBytes
 from pomeloward.relay.httpconventions import HttpConventions as HttpConventions
 from pomeloward.relay.openrequests import OpenRequests as OpenRequests
 from pomeloward.relay.pathmonitor import PathMonitor as PathMonitor
--- a/src/pomeloward/relay/forwarder.py
+++ b/src/pomeloward/relay/forwarder.py
@@ -87,11 +87,12 @@
                         tasks.cancel_scope.cancel()
                     return forwarded
                 except BaseException:
-                    if unused is not None and unused.is_ok():
-                        await unused.ok.aclose()
+                    unused = None
                     raise
                 finally:
-                    await _close_unread(receiver)
+                    with anyio.CancelScope(shield=True):
+                        await _close_unread(receiver)
+                        await _close_failed(state, unused)
         return self._refuse_timed_out(state)
 
     async def _run_attempts(
@@ -433,6 +434,21 @@
     return body.can_share if state.open_count else body.can_replay
 
 
+async def _close_failed(
+    state: forwardingstate.ForwardingState,
+    forwarded: forwarding.ForwardResult | None,
+) -> None:
+    """Close the last response that was read, unless it is passed on."""
+    response = state.last_result.response if state.last_result else None
+    if response is None or (
+        forwarded is not None
+        and forwarded.is_ok()
+        and forwarded.ok is response
+    ):
+        return
+    await response.aclose()
+
+
 async def _close_unread(receiver: _ResultReceiver) -> None:
     """Close the responses that came after the one that is passed on."""
     while True:
--- a/src/pomeloward/relay/peerrelay.py
+++ b/src/pomeloward/relay/peerrelay.py
@@ -15,6 +15,7 @@
 from pomeloward.dispatch import outgoing
 from pomeloward.relay import admittedrequest
 from pomeloward.relay import forwarding
+from pomeloward.relay import heldbytes
 from pomeloward.relay import httpconventions
 from pomeloward.relay import noticereader
 from pomeloward.relay import requestbodystream
@@ -68,16 +69,19 @@
             [], collections.abc.Sequence[PeerEndpoint]
         ],
         on_notice: noticereader.OnNotice,
+        held_bytes: heldbytes.HeldBytes,
     ) -> None:
         """Create a relay to the peers that ``find_peers`` returns.
 
         ``conventions`` are those between hosts. ``on_notice`` is called with
         what a target announces in an answer that a peer relays.
+        ``held_bytes`` limits what is buffered of answers.
         """
         self._peer_links = peer_links
         self._conventions = conventions
         self._find_peers = find_peers
         self._on_notice = on_notice
+        self._held_bytes = held_bytes
         self._notice_reader = noticereader.NoticeReader(conventions)
 
     async def try_forward(
@@ -153,7 +157,7 @@
                 name.lower(): value for name, value in response.headers.raw
             }
             peer_response = await responsereader.read_response(
-                request, response
+                request, response, self._held_bytes
             )
             detail = f"answered {peer_response.status}"
             peer_response.is_relayed = True
@@ -172,6 +176,7 @@
                         model.NotRunReason.REFUSED_BY_CONTRACT, detail
                     )
                 )
+                await peer_response.aclose()
                 return _fail(refused_kind)
             peer_response.hold_link(link)
             return expression.Ok(peer_response)
--- a/src/pomeloward/relay/responsewriter.py
+++ b/src/pomeloward/relay/responsewriter.py
@@ -9,6 +9,10 @@
 from pomeloward import model
 from pomeloward.relay import targetresponse
 
+# A part of a body that is sent at a time. The connection to the caller takes
+# the next one when little of the last one is left.
+_PART_BYTES = 8 * 1024
+
 Send = collections.abc.Callable[
     [dict[str, typing.Any]], collections.abc.Awaitable[None]
 ]
@@ -44,13 +48,13 @@
         that the caller notices.
         """
         await self._send_start(response.status, response.headers)
-        if response.body_rest is not None:
-            await self._send_chunk(response.body_start)
-            async for chunk in response.body_rest:
+        body_rest = response.body_rest
+        await self._send_parts(response.body_start, is_last=body_rest is None)
+        response.release_start()
+        if body_rest is not None:
+            async for chunk in body_rest:
                 await self._send_chunk(chunk)
             await self._send_chunk(b"", is_last=True)
-            return
-        await self._send_chunk(response.body_start, is_last=True)
 
     async def write_refusal(self, refusal: model.Refusal) -> None:
         """Send a refusal by this host."""
@@ -82,6 +86,14 @@
             }
         )
 
+    async def _send_parts(self, data: bytes, is_last: bool) -> None:
+        """Send data in parts, so that it isn't copied as a whole."""
+        position = 0
+        while len(data) - position > _PART_BYTES:
+            await self._send_chunk(data[position : position + _PART_BYTES])
+            position += _PART_BYTES
+        await self._send_chunk(data[position:], is_last)
+
     async def _send_chunk(self, data: bytes, is_last: bool = False) -> None:
         await self._send(
             {
--- a/src/pomeloward/relay/targetclient.py
+++ b/src/pomeloward/relay/targetclient.py
@@ -15,6 +15,7 @@
 from pomeloward.dispatch import outgoing
 from pomeloward.relay import admittedrequest
 from pomeloward.relay import attemptresult
+from pomeloward.relay import heldbytes
 from pomeloward.relay import httpconventions
 from pomeloward.relay import noticereader
 from pomeloward.relay import pathprobe
@@ -40,7 +41,8 @@
     ``max_connections_for`` returns how many connections this host may open
     to a target of a service. ``on_notice`` is called with what a target
     announces in each answer. ``target_probe`` and ``path_probe`` tell whether
-    a target that closed a connection has crashed.
+    a target that closed a connection has crashed. ``held_bytes`` limits what
+    is buffered of answers.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         on_notice: noticereader.OnNotice,
         target_probe: targetprobes.TargetProbe,
         path_probe: pathprobe.PathProbe,
+        held_bytes: heldbytes.HeldBytes,
     ) -> None:
         self._links = target_links
         self._conventions = conventions
@@ -59,6 +62,7 @@
         self._notice_reader = noticereader.NoticeReader(conventions)
         self._target_probe = target_probe
         self._path_probe = path_probe
+        self._held_bytes = held_bytes
 
     async def send(
         self,
@@ -239,7 +243,9 @@
                 balance.Outcome.ERROR,
                 f"response {status} has no signature or is encoded",
             )
-        target_response = await responsereader.read_response(request, response)
+        target_response = await responsereader.read_response(
+            request, response, self._held_bytes
+        )
         target_response.target_id = target.id
         if status >= 500 or status < 200:
             return attemptresult.AttemptResult(
--- a/tests/platform/test_relayedbodies.py
+++ b/tests/platform/test_relayedbodies.py
@@ -106,6 +106,7 @@
             platform.HTTP_CONVENTIONS.between_hosts(),
             lambda: [peer.endpoint() for peer in peers],
             lambda target_id, notice: None,
+            relay.HeldBytes(lambda is_exhausted, byte_count: None),
         )
         result = await peer_relay.try_forward(
             request, requestlogentry.RequestLogEntry(request.id, 0.0)
--- a/tests/relay/test_relayrounds.py
+++ b/tests/relay/test_relayrounds.py
@@ -68,6 +68,7 @@
         httpconventions.HTTP_CONVENTIONS.between_hosts(),
         lambda: _PEERS,
         lambda *_: None,
+        relay.HeldBytes(lambda *_: None),
     )
     request = samplerequests.make_request(
         factories.make_route(is_idempotent=is_repeatable)
