Leave little unsent for callers who read slowly or not at all

A host grew with the callers who didn't read, and callers of a sound service got no answer while others left answers unread.

Cause: up to 64 KiB and the whole start of a body waited in the transport of a caller's connection, and the system took megabytes more. The event loop was busy with filling the buffers of the system from bodies without end.

Change: 8 KiB may be unsent in the transport, and as much in the system (TCP_NOTSENT_LOWAT). 8 KiB are read of a target at a time, so that an answer that waits for its caller holds little.

--- a/src/pomeloward/edge/httplistener.py
+++ b/src/pomeloward/edge/httplistener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import socket
 import typing
 
 from hypercorn import utils
@@ -18,6 +19,9 @@
 # Requests of one connection that are served side by side. Each may hold a
 # response of up to 256 kB until the earlier ones are answered.
 _MAX_PIPELINED_REQUESTS = 8
+# A response with more unsent bytes waits for its caller, in this process and
+# in the system. The system would take megabytes for a caller who doesn't read.
+_MAX_UNSENT_BYTES = 8 * 1024
 _DEFAULT_TIMEOUTS = entry.CallerTimes()
 
 
@@ -95,6 +99,10 @@
         if len(self._open_connections) >= self._max_connections:
             writer.transport.abort()
             return
+        writer.transport.set_write_buffer_limits(_MAX_UNSENT_BYTES)
+        writer.get_extra_info("socket").setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, _MAX_UNSENT_BYTES
+        )
         connection = entry.Connection(
             self._app,
             self._config,
--- a/src/pomeloward/wire/connection.py
+++ b/src/pomeloward/wire/connection.py
@@ -21,7 +21,8 @@
 from pomeloward.wire import socketstream
 from pomeloward.wire import straybytes
 
-_READ_BYTES = 65_536
+# An answer that is passed on to a slow caller holds one read.
+_READ_BYTES = 8_192
 # Longer heads and chunk headers are errors.
 _MAX_HEAD_BYTES = 102_400
 # Answers to other requests are read up to so many bytes in all.
