Guard each close of an answer that isn't passed on

Three tests now bring the cases about: a failed attempt that another follows, a loser that ends together with the winner, and a failed attempt whose retry waits until the deadline.

--- a/tests/relay/test_heldbytes.py
+++ b/tests/relay/test_heldbytes.py
@@ -197,3 +197,73 @@
 
     anyio.run(scenario)
     assert chunk_count == 10
+
+
+def test_failed_answer_gives_back_what_it_held_when_another_follows():
+    """The answer of the first attempt stayed counted."""
+    held_bytes = heldbytes.HeldBytes(lambda *_: None, _CAPACITY_BYTES)
+    answers = [(500, [(0, _KIB)], "end"), (200, [(0, 2 * _KIB)], "end")]
+
+    async def scenario():
+        harness = _make_forwarder(held_bytes, answers)
+        forwarded, _ = await harness.forward()
+        assert forwarded.ok.status == 200
+        assert held_bytes.byte_count == 2 * _KIB
+        await forwarded.ok.aclose()
+        assert held_bytes.byte_count == 0
+
+    trio.run(scenario, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_loser_of_a_race_gives_back_what_it_held():
+    """Both answers ended in the same step of the event loop."""
+    held_bytes = heldbytes.HeldBytes(lambda *_: None, _CAPACITY_BYTES)
+
+    async def scenario():
+        harness = _make_forwarder(held_bytes, [])
+        ends_ms = anyio.current_time() * 1_000 + 2_000
+
+        async def answer_at_end(request, attempt, target, run_evidence):
+            run_evidence.mark_sent()
+            stream = _Stream([(0, _KIB)], "end")
+            read = await responsereader.read_response(
+                request, httpx.Response(200, stream=stream), held_bytes
+            )
+            await anyio.sleep_until(ends_ms / 1_000)
+            sent.append(target.id)
+            return attemptresult.AttemptResult(
+                attempt, balance.Outcome.OK, "", response=read
+            )
+
+        sent = []
+        harness.forwarder._target_client.send = answer_at_end
+        forwarded, _ = await harness.forward()
+        assert len(sent) == 2
+        assert held_bytes.byte_count == _KIB
+        await forwarded.ok.aclose()
+
+    trio.run(scenario, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert held_bytes.byte_count == 0
+
+
+def test_failed_answer_gives_back_what_it_held_at_the_deadline():
+    """A retry waited for a slot until the deadline of its request."""
+    held_bytes = heldbytes.HeldBytes(lambda *_: None, _CAPACITY_BYTES)
+
+    async def scenario():
+        answers = [(500, [(0, _KIB)], "end")]
+        harness = _make_forwarder(held_bytes, answers)
+        acquire = harness.slot_allocator.acquire
+
+        async def acquire_first(request, tried_target_ids):
+            if tried_target_ids:
+                assert held_bytes.byte_count == _KIB
+                await anyio.sleep_forever()
+            return await acquire(request, tried_target_ids)
+
+        harness.slot_allocator.acquire = acquire_first
+        forwarded, _ = await harness.forward()
+        assert forwarded.is_error()
+
+    trio.run(scenario, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert held_bytes.byte_count == 0
