--- a/src/pomeloward/wire/connection.py
+++ b/src/pomeloward/wire/connection.py
@@ -21,8 +21,9 @@
 from pomeloward.wire import socketstream
 from pomeloward.wire import straybytes
 
-# A read of one-byte chunks keeps the event loop busy for 0.1 s.
-_READ_BYTES = 16_384
+# An answer that is passed on to a slow caller holds one read, and a read of
+# one-byte chunks keeps the event loop busy.
+_READ_BYTES = 8_192
 # Longer heads and chunk headers are errors.
 _MAX_HEAD_BYTES = 102_400
 # Bounds what is kept of the ids of former requests.
@@ -30,6 +31,9 @@
 # Answers to other requests are read up to so many bytes in all.
 _MAX_FOREIGN_BYTES = 65_536
 _FOREIGN_BODY_TIMEOUT_S = 0.1
+# As many bytes of interim answers to one request are accepted. Endless ones
+# would keep the event loop busy until the deadline.
+_MAX_INTERIM_BYTES = 65_536
 _FOREIGN_ANSWER_TEXT = "an answer to another request does not end"
 
 _DEFAULT_PORTS = {b"http": 80, b"https": 443}
@@ -319,6 +323,7 @@
 
     async def _receive_head(self) -> responsehead.Head:
         """Return the head of the final answer, or of a protocol switch."""
+        interim_bytes = 0
         while True:
             event = await self._receive_event()
             if not isinstance(event, responsehead.Head):
@@ -329,6 +334,9 @@
                 or event.status_code == httpx.codes.SWITCHING_PROTOCOLS
             ):
                 return event
+            interim_bytes += len(responsehead.format_head(event))
+            if interim_bytes > _MAX_INTERIM_BYTES:
+                raise httpx.RemoteProtocolError("interim answers do not end")
 
     async def _receive_event(self) -> h11.Event | type[h11.PAUSED]:
         while True:
