Reproduce wrong successes with the users' processes and size

Callers got a success where a target had answered with a failure (MIXED).

tests/platform/site starts hosts, targets and callers as processes of their own: 48 hosts in four availability zones and 36 targets of two services, or a twelfth of that. Targets send second answers, whole, without an id or cut at any byte, in the same write, on the idle connection, or in front of the next answer. Hosts and targets are stopped in series.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PLANT ?=
 FIRST ?=
 
-.PHONY: demo demo-host test matrix measure capacity plants soak lint format
+.PHONY: demo demo-host test matrix measure capacity plants soak site lint format
 
 $(VENV)/.installed: requirements-dev.txt requirements.txt pyproject.toml
 	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
@@ -47,5 +47,8 @@
 soak: $(SETUP)
 	$(RUN) -m tests.platform.soak --seeds $(SEEDS) $(if $(FIRST),--first $(FIRST)) $(if $(PLANT),--plant $(PLANT))
 
+site: $(SETUP)
+	$(RUN) -m tests.platform.site --seed $(or $(FIRST),1) --size $(or $(SIZE),small) --seconds $(or $(SECONDS),30) $(if $(SOURCE),--source $(SOURCE))
+
 plants: $(SETUP)
 	$(RUN) -m bench.plants
