Measure the site's own lag and load, and draw gray targets

The summary now has the lag of the store's process, the median of all lags and the greatest load average.

--- a/tests/platform/site/__main__.py
+++ b/tests/platform/site/__main__.py
@@ -1,6 +1,7 @@
 """The command line of the site."""
 
 import argparse
+import dataclasses
 import pathlib
 import sys
 import tempfile
@@ -18,12 +19,14 @@
     parser.add_argument("--seconds", type=float, default=30)
     parser.add_argument("--size", choices=shapes.SIZES, default="small")
     parser.add_argument("--source", type=pathlib.Path, default=play.SOURCE)
+    parser.add_argument("--second-ratio", type=float)
+    parser.add_argument("--failure-ratio", type=float)
     given = parser.parse_args()
     directory = pathlib.Path(tempfile.mkdtemp(prefix="pomeloward-site-"))
     print(f"logs and records: {directory}")
     made = anyio.run(
         play.play,
-        shapes.SIZES[given.size],
+        _shape(given),
         given.seed,
         given.seconds,
         given.source,
@@ -34,5 +37,17 @@
     return 1 if made.wrong else 0
 
 
+def _shape(given):
+    """Return the shape of the size, with the ratios that are given."""
+    ratios = {
+        "second_ratio": given.second_ratio,
+        "failure_ratio": given.failure_ratio,
+    }
+    return dataclasses.replace(
+        shapes.SIZES[given.size],
+        **{name: one for name, one in ratios.items() if one is not None},
+    )
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/platform/site/memory.py
+++ b/tests/platform/site/memory.py
@@ -1,4 +1,6 @@
-"""Watches the resident memory of the processes of a site."""
+"""Watches the resident memory of a site, and the load of the machine."""
+
+import os
 
 import anyio
 
@@ -6,7 +8,7 @@
 
 
 class Memory:
-    """The greatest resident memory seen, in MiB."""
+    """The greatest resident memory seen, in MiB, and the greatest load."""
 
     def __init__(self, processes):
         self._processes = processes
@@ -14,6 +16,7 @@
         self.hosts_mib = 0.0
         self.all_mib = 0.0
         self.processes = 0
+        self.load_average = 0.0
 
     async def watch(self):
         while True:
@@ -25,4 +28,5 @@
             self.hosts_mib = max(self.hosts_mib, sum(hosts) / _MIB)
             self.all_mib = max(self.all_mib, sum(found.values()) / _MIB)
             self.processes = max(self.processes, len(found))
+            self.load_average = max(self.load_average, os.getloadavg()[0])
             await anyio.sleep(0.5)
--- a/tests/platform/site/play.py
+++ b/tests/platform/site/play.py
@@ -10,8 +10,10 @@
 from tests.platform import store as stores
 from tests.platform.site import configuration
 from tests.platform.site import hosts as hosts_
+from tests.platform.site import lag
 from tests.platform.site import memory
 from tests.platform.site import processes as processes_
+from tests.platform.site import records
 from tests.platform.site import summary
 from tests.platform.site import targetprocesses
 
@@ -47,6 +49,8 @@
             async with anyio.create_task_group() as tasks:
                 await tasks.start(serving.serve, self._store, self._store_port)
                 await self._start()
+                recorder = records.Recorder(self._directory / "store.jsonl")
+                tasks.start_soon(lag.watch, recorder)
                 tasks.start_soon(self._memory.watch)
                 tasks.start_soon(self._stop_hosts, tasks)
                 tasks.start_soon(self._stop_targets)
--- a/tests/platform/site/shape.py
+++ b/tests/platform/site/shape.py
@@ -25,6 +25,8 @@
     target_stop_gap_s: float
     latency_ms: tuple = (20, 200)
     failure_ratio: float = 0.012
+    # The part of the targets that fail half of their requests at any time.
+    gray_ratio: float = 0.07
     idle_limit_s: float = 10.0
     kill_ratio: float = 0.2
 
--- a/tests/platform/site/summary.py
+++ b/tests/platform/site/summary.py
@@ -20,9 +20,10 @@
     stray_lines: int
     second_answers: int
     reused_answers: int
-    # Worst and 99 of 100 of the greatest lags of each second.
+    # Of the greatest lags of each second: at most, at p99 and at the median.
     caller_lag_ms: tuple
     target_lag_ms: tuple
+    store_lag_ms: tuple
     memory: object
 
     def lines(self):
@@ -40,14 +41,15 @@
             f"used before: {self.reused_answers}"
         )
         yield (
-            f"lag at most and at p99, ms: callers {self.caller_lag_ms}, "
-            f"targets {self.target_lag_ms}"
+            f"lag at most, p99, median, ms: callers {self.caller_lag_ms}, "
+            f"targets {self.target_lag_ms}, store {self.store_lag_ms}"
         )
         yield (
             f"resident at most, MiB: a host {memory.host_mib:.0f}, all hosts "
             f"{memory.hosts_mib:.0f}, all {memory.processes} processes "
             f"{memory.all_mib:.0f}"
         )
+        yield f"load average at most: {memory.load_average:.0f}"
 
 
 def read(directory, memory):
@@ -80,6 +82,7 @@
         reused_answers=sum(one["order"] > 1 for one in answers),
         caller_lag_ms=_lag_ms(called),
         target_lag_ms=_lag_ms(written),
+        store_lag_ms=_lag_ms(records.read(directory, "store.jsonl")),
         memory=memory,
     )
 
@@ -91,4 +94,5 @@
 def _lag_ms(found):
     lags = sorted(one["worst_s"] for one in _of_kind(found, "lag")) or [0]
     at_p99 = lags[int(0.99 * (len(lags) - 1))]
-    return round(1000 * lags[-1]), round(1000 * at_p99)
+    median = lags[len(lags) // 2]
+    return tuple(round(1000 * one) for one in (lags[-1], at_p99, median))
--- a/tests/platform/site/target.py
+++ b/tests/platform/site/target.py
@@ -13,6 +13,9 @@
 _QUEUED_REQUESTS = 12
 _HEALTH_S = 0.025
 _SECOND_DELAY_S = (0.001, 0.03)
+# A target is gray for so long, or is not, and is then drawn again.
+_GRAY_S = 5.0
+_GRAY_FAILURE_RATIO = 0.5
 _GONE = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
@@ -36,6 +39,8 @@
         self._slots = anyio.Semaphore(_SLOTS)
         self._open_requests = 0
         self._answers = 0
+        self._is_gray = False
+        self._gray_until_s = 0.0
         self._ending = ""
         self._stopping = anyio.Event()
         self._finished = anyio.Event()
@@ -94,9 +99,18 @@
             await self._stopping.wait()
             if self._ending != "middle":
                 await anyio.sleep_forever()
-        is_failed = self._rng.random() < self._behaviour["failure_ratio"]
+        is_failed = self._rng.random() < self._failure_ratio()
         return await connection.send_drawn(request, 500 if is_failed else 200)
 
+    def _failure_ratio(self):
+        if anyio.current_time() >= self._gray_until_s:
+            self._gray_until_s = anyio.current_time() + _GRAY_S
+            is_gray = self._rng.random() < self._behaviour["gray_ratio"]
+            self._is_gray = is_gray
+        if self._is_gray:
+            return _GRAY_FAILURE_RATIO
+        return self._behaviour["failure_ratio"]
+
     def draw_answer(self, request, status, is_last):
         """Return an answer that is drawn, apart from its status."""
         self._answers += 1
--- a/tests/platform/site/targetprocesses.py
+++ b/tests/platform/site/targetprocesses.py
@@ -58,6 +58,7 @@
                     "behaviour": {
                         "latency_ms": self._shape.latency_ms,
                         "failure_ratio": self._shape.failure_ratio,
+                        "gray_ratio": self._shape.gray_ratio,
                         "second_ratio": self._shape.second_ratio,
                         "idle_limit_s": self._shape.idle_limit_s,
                     },
