--- a/tests/platform/site/play.py
+++ b/tests/platform/site/play.py
@@ -31,7 +31,11 @@
         self._seed = seed
         self._duration_s = duration_s
         self._directory = directory
-        self._rng = random.Random(seed)
+        # Each has its own, so that the stops of one don't shift those of the
+        # other.
+        self._host_rng = random.Random(f"{seed} hosts")
+        self._target_rng = random.Random(f"{seed} targets")
+        self._recorder = records.Recorder(directory / "site.jsonl")
         self._store = stores.Store()
         self._store_port = serving.steady_port()
         self._processes = processes_.Processes(directory)
@@ -49,8 +53,7 @@
             async with anyio.create_task_group() as tasks:
                 await tasks.start(serving.serve, self._store, self._store_port)
                 await self._start()
-                recorder = records.Recorder(self._directory / "store.jsonl")
-                tasks.start_soon(lag.watch, recorder)
+                tasks.start_soon(lag.watch, self._recorder)
                 tasks.start_soon(self._memory.watch)
                 tasks.start_soon(self._stop_hosts, tasks)
                 tasks.start_soon(self._stop_targets)
@@ -95,16 +98,20 @@
     async def _stop_hosts(self, tasks):
         """Stop hosts one after another, with overlap."""
         while True:
-            for name in self._rng.sample(
+            for name in self._host_rng.sample(
                 list(self._hosts.names), len(self._hosts.names)
             ):
                 await anyio.sleep(self._shape.host_stop_gap_s)
                 if self._processes.is_running(name):
-                    is_killed = self._rng.random() < self._shape.kill_ratio
+                    is_killed = (
+                        self._host_rng.random() < self._shape.kill_ratio
+                    )
                     tasks.start_soon(self._restart_host, name, is_killed)
 
     async def _restart_host(self, name, is_killed):
-        await self._processes.stop(name, is_killed)
+        self._recorder.write("stop", name=name, is_killed=is_killed)
+        status = await self._processes.stop(name, is_killed)
+        self._recorder.write("stopped", name=name, status=status)
         await anyio.sleep(_HOST_PAUSE_S)
         self._hosts.start(name)
 
@@ -112,7 +119,7 @@
         while True:
             for name in self._targets.names:
                 await anyio.sleep(self._shape.target_stop_gap_s)
-                await self._targets.stop(name, self._rng.random() < 0.5)
+                await self._targets.stop(name, self._target_rng.random() < 0.5)
                 await anyio.sleep(_TARGET_PAUSE_S)
                 self._targets.start(name)
 
--- a/tests/platform/site/summary.py
+++ b/tests/platform/site/summary.py
@@ -18,6 +18,8 @@
     wrong: dict
     protocol_errors: int
     stray_lines: int
+    host_stops: int
+    host_kills: int
     second_answers: int
     reused_answers: int
     # Of the greatest lags of each second: at most, at p99 and at the median.
@@ -36,6 +38,7 @@
             yield f"wrong answers, {check}: {len(ids)} {' '.join(ids)}"
         yield f"502 with RemoteProtocolError: {self.protocol_errors}"
         yield f"stray-byte lines: {self.stray_lines}"
+        yield f"hosts stopped: {self.host_stops}, killed: {self.host_kills}"
         yield (
             f"second answers: {self.second_answers}; answers on connections "
             f"used before: {self.reused_answers}"
@@ -53,6 +56,8 @@
 
 
 def read(directory, memory):
+    site = records.read(directory, "site.jsonl")
+    stops = [one["is_killed"] for one in _of_kind(site, "stop")]
     called = records.read(directory, "callers-*.jsonl")
     written = records.read(directory, "targets-*.jsonl")
     requests = _of_kind(called, "request")
@@ -78,11 +83,13 @@
             for one in requests
         ),
         stray_lines=logs.count("connection:stray_bytes"),
+        host_stops=stops.count(False),
+        host_kills=stops.count(True),
         second_answers=sum(one["is_second"] for one in answers),
         reused_answers=sum(one["order"] > 1 for one in answers),
         caller_lag_ms=_lag_ms(called),
         target_lag_ms=_lag_ms(written),
-        store_lag_ms=_lag_ms(records.read(directory, "store.jsonl")),
+        store_lag_ms=_lag_ms(site),
         memory=memory,
     )
 
