End a long response that its caller doesn't read at the deadline

A caller who reads nothing of a long answer kept the slot and the connection of the target until it left: the deadline was looked at between two parts of the body, and the next part waited for the caller.

Change: the writing of a long response ends at the deadline of its request, with a line of its own, and without blame for the target.

--- a/src/pomeloward/relay/application.py
+++ b/src/pomeloward/relay/application.py
@@ -104,6 +104,8 @@
         """
         if isinstance(error, dispatch.AnswerCut):
             log_entry.reason = f"target ended its response early: {error}"
+        elif isinstance(error, responsewriter.ResponseNotTaken):
+            log_entry.reason = "caller did not read the response in its time"
         elif isinstance(error, entry.CallerGone):
             log_entry.reason = "caller disconnected"
         elif isinstance(error, entry.BodyTooLarge) and not writer.sent_status:
--- a/src/pomeloward/relay/bodyrest.py
+++ b/src/pomeloward/relay/bodyrest.py
@@ -35,6 +35,11 @@
         self._outcome = balance.Outcome.ABANDONED
         self._link: links.Link | None = None
 
+    @property
+    def deadline_ms(self) -> float:
+        """When the body has to have been passed on."""
+        return self._deadline_ms
+
     def hold_link(self, link: links.Link) -> None:
         """Count the body as a use of the pool that its connection is from."""
         link.enter(model.now_ms())
--- a/src/pomeloward/relay/responsewriter.py
+++ b/src/pomeloward/relay/responsewriter.py
@@ -3,6 +3,7 @@
 import collections.abc
 import typing
 
+import anyio
 import msgspec
 
 from pomeloward import dispatch
@@ -18,6 +19,10 @@
 ]
 
 
+class ResponseNotTaken(model.PomelowardError):
+    """A caller did not read a long response before its deadline."""
+
+
 class ResponseWriter:
     """Sends one response to a caller.
 
@@ -43,18 +48,27 @@
     ) -> None:
         """Send a target's response.
 
-        Raises ``dispatch.AnswerCut`` when the target ends a long one early.
-        The connection then has to be closed without an end of the body, so
-        that the caller notices.
+        Raises ``dispatch.AnswerCut`` when the target ends a long one early,
+        and ``ResponseNotTaken``. The connection then has to be closed without
+        an end of the body, so that the caller notices.
         """
         await self._send_start(response.status, response.headers)
         body_rest = response.body_rest
-        await self._send_parts(response.body_start, is_last=body_rest is None)
-        response.release_start()
-        if body_rest is not None:
+        if body_rest is None:
+            await self._send_parts(response.body_start, is_last=True)
+            response.release_start()
+            return
+        # Until then the target keeps a slot for the response.
+        with anyio.CancelScope(
+            deadline=body_rest.deadline_ms / 1_000
+        ) as scope:
+            await self._send_parts(response.body_start, is_last=False)
+            response.release_start()
             async for chunk in body_rest:
                 await self._send_chunk(chunk)
             await self._send_chunk(b"", is_last=True)
+        if scope.cancelled_caught:
+            raise ResponseNotTaken
 
     async def write_refusal(self, refusal: model.Refusal) -> None:
         """Send a refusal by this host."""
--- a/tests/platform/test_endlessanswers.py
+++ b/tests/platform/test_endlessanswers.py
@@ -6,6 +6,7 @@
 import httpx
 import pytest
 
+from tests.platform import fleet
 from tests.platform import server as servers
 
 pytestmark = pytest.mark.anyio
@@ -161,3 +162,27 @@
         world.servers["s1"].behave = answer_long
         response = await world.get("/safe/")
         assert response.content == 20 * _CHUNK
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_caller_who_reads_nothing_keeps_no_slot_past_the_deadline(
+    world, method
+):
+    """The slot of the target was taken until the caller left."""
+    async with world.running(names=("s1",)):
+        server = world.servers["s1"]
+        server.behave = _endless_body
+        stream = await anyio.connect_tcp(
+            world.addresses["n1"], world.ports["front"]
+        )
+        head = (
+            f"{method} /open/ HTTP/1.1\r\nHost: {fleet.HOST}\r\n"
+            "X-Request-Id: q\r\nX-Timeout-Ms: 1000\r\n"
+            "Content-Length: 0\r\n\r\n"
+        )
+        async with stream:
+            await stream.send(head.encode())
+            await anyio.sleep(0.5)
+            assert server.open == 1
+            await anyio.sleep(1.0 + _SLACK_S)
+            assert server.open == 0
