End an attempt of pomeloward-host at an answer to another request

Cause: answers to other requests were skipped there too, though its targets don't repeat the id in all answers, so that one that comes next may be no better.

--- a/src/pomeloward/dispatch/attempt.py
+++ b/src/pomeloward/dispatch/attempt.py
@@ -76,7 +76,7 @@
                 wire.IDENTITY_EXTENSION: wire.RequestIdentity(
                     failures.REQUEST_ID_HEADER.encode("ascii"),
                     request.id.encode("ascii"),
-                    is_required=False,
+                    is_in_all_answers=False,
                 ),
             },
         )
--- a/src/pomeloward/wire/connection.py
+++ b/src/pomeloward/wire/connection.py
@@ -272,11 +272,16 @@
         """
         head = await self._receive_head()
         skipped_bytes = 0
-        is_first = self._use.request_number == 1
+        # Without an id in all answers, one that comes next may be no better.
+        can_skip = (
+            identity is not None
+            and identity.is_in_all_answers
+            and self._use.request_number > 1
+        )
         while identity is not None and not identity.is_in(
             head.headers.raw_items()
         ):
-            if is_first:
+            if not can_skip:
                 raise httpx.RemoteProtocolError("the answer has another id")
             self._has_foreign_answer = True
             skipped_bytes += await self._skip_foreign_answer(
--- a/src/pomeloward/wire/requestidentity.py
+++ b/src/pomeloward/wire/requestidentity.py
@@ -13,20 +13,20 @@
 class RequestIdentity:
     """An id that the answer to a request repeats in a header.
 
-    ``header`` is in lower case. Without ``is_required`` an answer may have no
-    id, but none of another request.
+    ``header`` is in lower case. Without ``is_in_all_answers`` an answer may
+    have no id, but none of another request.
     """
 
     header: bytes
     request_id: bytes
-    is_required: bool = True
+    is_in_all_answers: bool = True
 
     def is_in(
         self, headers: collections.abc.Iterable[tuple[bytes, bytes]]
     ) -> bool:
         """Return whether an answer with these headers is to the request."""
         ids = [value for name, value in headers if name.lower() == self.header]
-        return ids == [self.request_id] or not (ids or self.is_required)
+        return ids == [self.request_id] or not (ids or self.is_in_all_answers)
 
 
 def find_identity(request: httpx.Request) -> RequestIdentity | None:
