Part the stream of a connection from its exchanges

connection.py held both the bytes of a connection, with and without TLS, and the order of its requests and answers. The former are in httpstream.py now. A connection that is released without being idle is closed by the pool, also where the end of an exchange fails.

--- a/src/pomeloward/wire/connection.py
+++ b/src/pomeloward/wire/connection.py
@@ -9,21 +9,16 @@
 import typing
 
 import anyio
-import anyio.abc
-from anyio.streams import tls
 import h11
 import httpx
 
 from pomeloward.wire import connectionuse
 from pomeloward.wire import errortext
+from pomeloward.wire import httpstream
 from pomeloward.wire import requestidentity
 from pomeloward.wire import responsehead
-from pomeloward.wire import socketstream
 from pomeloward.wire import straybytes
 
-# An answer that is passed on to a slow caller holds one read, and a read of
-# one-byte chunks keeps the event loop busy.
-_READ_BYTES = 8_192
 # Longer heads and chunk headers are errors.
 _MAX_HEAD_BYTES = 102_400
 # Bounds what is kept of the ids of former requests.
@@ -36,14 +31,6 @@
 _MAX_INTERIM_BYTES = 65_536
 _FOREIGN_ANSWER_TEXT = "an answer to another request does not end"
 
-_DEFAULT_PORTS = {b"http": 80, b"https": 443}
-_BROKEN = (
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    ssl.SSLError,
-)
-_CONNECT_ERRORS = (OSError, anyio.BrokenResourceError, anyio.EndOfStream)
-
 _Trace = collections.abc.Callable[
     [str, dict[str, typing.Any]], collections.abc.Awaitable[None]
 ]
@@ -82,8 +69,7 @@
         self._settings = settings
         self._state = _State.NEW
         self._parser = _make_parser()
-        self._socket: socketstream.SocketStream | None = None
-        self._stream: anyio.abc.ByteStream | None = None
+        self._stream: httpstream.HttpStream | None = None
         self._use = connectionuse.ConnectionUse(0, 0)
         self._has_foreign_answer = False
         self._carried_ids: set[bytes] = set()
@@ -116,8 +102,8 @@
             self.is_idle
             and not is_repeated
             and not self.is_over_age
-            and self._socket is not None
-            and not self._socket.has_unread()
+            and self._stream is not None
+            and not self._stream.has_unread()
         )
 
     async def send(
@@ -135,11 +121,14 @@
         timeouts_s = request.extensions.get("timeout", {})
         self._read_timeout_s = timeouts_s.get("read")
         if self._stream is None:
-            self._stream = await self._connect(
-                request.url, timeouts_s.get("connect")
+            self._stream = await httpstream.connect(
+                request.url,
+                self._settings.local_address,
+                self._settings.tls_context,
+                timeouts_s.get("connect"),
             )
         self._use = connectionuse.ConnectionUse(
-            self._use.local_port, self._use.request_number + 1
+            self._stream.local_port, self._use.request_number + 1
         )
         await self._send_request(request, timeouts_s.get("write"))
         return await self._receive_own_head(request, identity)
@@ -160,7 +149,8 @@
         one.
         """
         unread, _ = self._parser.trailing_data
-        unread += await self._read_decrypted()
+        if self._stream is not None:
+            unread += await self._stream.receive_decrypted()
         is_complete = (
             self._parser.our_state is h11.DONE
             and self._parser.their_state is h11.DONE
@@ -179,49 +169,13 @@
         self._state = _State.IDLE
         self._expires_at_s = anyio.current_time() + self._settings.max_idle_s
 
-    async def _read_decrypted(self) -> bytes:
-        """Return what TLS holds behind an answer, empty without TLS."""
-        if self._stream is None or self._stream is self._socket:
-            return b""
-        with anyio.move_on_after(0):
-            return await self._read()
-        return b""
-
     async def aclose(self) -> None:
         """Close the connection."""
         if self._state is _State.IDLE:
             self._report_idle_bytes()
         self._state = _State.CLOSED
-        stream = self._stream or self._socket
-        if stream is not None:
-            await stream.aclose()
-
-    async def _connect(
-        self, url: httpx.URL, timeout_s: float | None
-    ) -> anyio.abc.ByteStream:
-        host = url.raw_host.decode("ascii")
-        try:
-            with anyio.fail_after(timeout_s):
-                self._socket = await socketstream.connect(
-                    host,
-                    url.port or _DEFAULT_PORTS[url.raw_scheme],
-                    self._settings.local_address,
-                )
-                self._use = connectionuse.ConnectionUse(
-                    self._socket.local_port, 0
-                )
-                if url.raw_scheme != b"https":
-                    return self._socket
-                return await tls.TLSStream.wrap(
-                    self._socket,
-                    hostname=host,
-                    ssl_context=self._settings.tls_context,
-                    standard_compatible=False,
-                )
-        except TimeoutError as error:
-            raise httpx.ConnectTimeout("no connection in time") from error
-        except _CONNECT_ERRORS as error:
-            raise httpx.ConnectError(str(error)) from error
+        if self._stream is not None:
+            await self._stream.aclose()
 
     async def _send_request(
         self, request: httpx.Request, timeout_s: float | None
@@ -252,13 +206,7 @@
         if not data:
             return
         assert self._stream is not None
-        try:
-            with anyio.fail_after(timeout_s):
-                await self._stream.send(data)
-        except TimeoutError as error:
-            raise httpx.WriteTimeout("the request wasn't taken") from error
-        except _BROKEN as error:
-            raise httpx.WriteError("the connection broke") from error
+        await self._stream.send(data, timeout_s)
 
     async def _receive_own_head(
         self,
@@ -349,29 +297,18 @@
                 event = self._parser.next_event()
                 if event is not h11.NEED_DATA:
                     return typing.cast("h11.Event", event)
-                data = await self._read()
+                assert self._stream is not None
+                data = await self._stream.receive(self._read_timeout_s)
                 if not data and self._parser.their_state is h11.SEND_RESPONSE:
                     raise httpx.RemoteProtocolError(
                         "the connection was closed without an answer"
                     )
                 self._parser.receive_data(data)
 
-    async def _read(self) -> bytes:
-        assert self._stream is not None
-        try:
-            with anyio.fail_after(self._read_timeout_s):
-                return await self._stream.receive(_READ_BYTES)
-        except anyio.EndOfStream:
-            return b""
-        except TimeoutError as error:
-            raise httpx.ReadTimeout("nothing came in time") from error
-        except _BROKEN as error:
-            raise httpx.ReadError("the connection broke") from error
-
     def _report_idle_bytes(self) -> None:
-        if self._socket is None or not self._socket.has_unread():
+        if self._stream is None or not self._stream.has_unread():
             return
-        data = self._socket.read_available(straybytes.MAX_INSPECTED_BYTES)
+        data = self._stream.read_available(straybytes.MAX_INSPECTED_BYTES)
         if data:
             self._report(straybytes.Place.IDLE, data)
 
--- a/src/pomeloward/wire/pool.py
+++ b/src/pomeloward/wire/pool.py
@@ -52,15 +52,13 @@
         return connection
 
     async def release(self, connection: connections.Connection) -> None:
-        """Take a connection back, and keep it if it is idle."""
+        """Take a connection back, and close it unless it is idle."""
         self._in_use.discard(connection)
         self._places.release()
-        if not connection.is_idle:
-            return
-        if self._is_closed:
-            await connection.aclose()
-        else:
+        if connection.is_idle and not self._is_closed:
             self._idle.append(connection)
+        else:
+            await connection.aclose()
 
     async def aclose(self) -> None:
         """Close all connections, also those in use."""
--- a/src/pomeloward/wire/transport.py
+++ b/src/pomeloward/wire/transport.py
@@ -41,7 +41,6 @@
             head = await connection.send(request, identity)
         except BaseException:
             with anyio.CancelScope(shield=True):
-                await connection.aclose()
                 await self._pool.release(connection)
             raise
         return httpx.Response(
@@ -83,5 +82,7 @@
             return
         self._is_closed = True
         with anyio.CancelScope(shield=True):
-            await self._connection.end_exchange()
-            await self._pool.release(self._connection)
+            try:
+                await self._connection.end_exchange()
+            finally:
+                await self._pool.release(self._connection)
