Blame the target, not the caller, for a body that does not end

Found by the search for leaked bytes, in a run of the suite: since a long response ends at its deadline on the caller's account, also when it was the target that sent nothing more, so that the target's failure didn't count.

Cause: both limits fire at the same moment, and the outer one wins.

Change: the caller's limit is 0.1 s later.

Measured: test_target_whose_body_does_not_end_is_blamed_for_it fails without the delay.

--- a/src/pomeloward/relay/responsewriter.py
+++ b/src/pomeloward/relay/responsewriter.py
@@ -13,6 +13,9 @@
 # A part of a body that is sent at a time. The connection to the caller takes
 # the next one when little of the last one is left.
 _PART_BYTES = 8 * 1024
+# Time after the deadline in which a target whose body didn't end is found to
+# be the cause, before the caller is.
+_NOT_TAKEN_DELAY_S = 0.1
 
 Send = collections.abc.Callable[
     [dict[str, typing.Any]], collections.abc.Awaitable[None]
@@ -60,7 +63,7 @@
             return
         # Until then the target keeps a slot for the response.
         with anyio.CancelScope(
-            deadline=body_rest.deadline_ms / 1_000
+            deadline=body_rest.deadline_ms / 1_000 + _NOT_TAKEN_DELAY_S
         ) as scope:
             await self._send_parts(response.body_start, is_last=False)
             response.release_start()
--- a/tests/platform/test_endlessanswers.py
+++ b/tests/platform/test_endlessanswers.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.platform import fleet
+from tests.platform import log
 from tests.platform import server as servers
 
 pytestmark = pytest.mark.anyio
@@ -186,3 +187,24 @@
             assert server.open == 1
             await anyio.sleep(1.0 + _SLACK_S)
             assert server.open == 0
+
+
+async def test_target_whose_body_does_not_end_is_blamed_for_it(world):
+    """Guards against endless bodies that count as the caller's fault."""
+    with log.captured_lines() as lines:
+        async with world.running(names=("s1",)):
+            world.servers["s1"].behave = _long_body_that_stops
+            with contextlib.suppress(httpx.HTTPError):
+                await world.request(
+                    "POST", "/order/", headers=[("X-Timeout-Ms", "500")]
+                )
+            await anyio.sleep(0.3)
+    (request,) = log.lines_of_type(lines, "request")
+    assert request["reason"].startswith("target ended its response early")
+
+
+async def _long_body_that_stops(server, stream, request, headers):
+    server.ran.append(request)
+    await stream.send(servers.head(request) + _CHUNK * 8)
+    await stream.receive()
+    raise anyio.EndOfStream
