--- a/tests/platform/test_relayedbodies.py
+++ b/tests/platform/test_relayedbodies.py
@@ -194,6 +194,7 @@
             platform.HTTP_CONVENTIONS.between_hosts(),
             lambda: [peer.endpoint()],
             lambda target_id, notice: None,
+            relay.HeldBytes(lambda *_: None),
         )
         result = await peer_relay.try_forward(request, log_entry)
         await links.aclose()
