Count requests of a connection by the connection in two tests

test_second_response_of_the_store_is_not_read_as_the_next failed once: it counted by the id of the stream's object, which a later stream may have again. So did test_splicedanswers, where a first request could be taken for a second.

--- a/tests/platform/test_splicedanswers.py
+++ b/tests/platform/test_splicedanswers.py
@@ -45,7 +45,7 @@
         self.answered = {}
 
     async def __call__(self, server, stream, request, headers):
-        part = self._parts.pop(id(stream), None)
+        part = self._parts.pop(stream, None)
         status, extra = self._answers[part is not None]
         self.answered[request] = status
         if status != 503:
@@ -57,7 +57,7 @@
                 await anyio.sleep(0.005)
             await stream.send(answer)
             return
-        part = self._parts[id(stream)] = answer[: self._cut]
+        part = self._parts[stream] = answer[: self._cut]
         if self._when == "behind":
             await stream.send(answer + part)
             return
--- a/tests/platform/test_storeclient.py
+++ b/tests/platform/test_storeclient.py
@@ -96,7 +96,7 @@
     counts = {}
 
     async def serve(stream):
-        number = counts[id(stream)] = counts.get(id(stream), 0) + 1
+        number = counts[stream] = counts.get(stream, 0) + 1
         era = b"Store-Era: %d" % number
         response = _head(len(_BODY), era) + _BODY
         await stream.send(
