End an attempt at bytes that can't begin an answer

Change: where an answer is due, bytes that aren't the start of one end the attempt at once, also when they come as junk of the target.

Measured: two tests fail before and pass.

--- a/src/pomeloward/wire/connection.py
+++ b/src/pomeloward/wire/connection.py
@@ -271,7 +271,9 @@
         )
         self._parser.send(h11.EndOfMessage())
         if behind:
-            self._parser.receive_data(behind)
+            with _translated_protocol_errors(httpx.RemoteProtocolError):
+                self._parser.receive_data(behind)
+                self._check_start_of_head()
         return byte_count
 
     async def _receive_head(self) -> responsehead.Head:
@@ -304,6 +306,15 @@
                         "the connection was closed without an answer"
                     )
                 self._parser.receive_data(data)
+                self._check_start_of_head()
+
+    def _check_start_of_head(self) -> None:
+        """Raise an error if what comes is no answer; it may have no lines."""
+        if self._parser.their_state is not h11.SEND_RESPONSE:
+            return
+        start, _ = self._parser.trailing_data
+        if not responsehead.may_begin(start):
+            raise h11.RemoteProtocolError(f"illegal status line: {start!r}")
 
     def _report_idle_bytes(self) -> None:
         if self._stream is None or not self._stream.has_unread():
--- a/src/pomeloward/wire/responsehead.py
+++ b/src/pomeloward/wire/responsehead.py
@@ -11,6 +11,8 @@
 
 _BODILESS_STATUSES = frozenset({204, 304})
 
+_START = b"HTTP/"
+
 Head = h11.Response | h11.InformationalResponse
 
 
@@ -25,6 +27,11 @@
         raise httpx.RemoteProtocolError("the head has two status lines")
 
 
+def may_begin(data: bytes) -> bool:
+    """Return whether bytes may be the start of a head, or a part of it."""
+    return data[: len(_START)] == _START[: len(data)]
+
+
 def has_known_length(method: str, head: Head) -> bool:
     """Return whether the body of an answer ends before its connection."""
     if method == "HEAD" or head.status_code in _BODILESS_STATUSES:
--- a/tests/wire/test_foreignanswers.py
+++ b/tests/wire/test_foreignanswers.py
@@ -123,3 +123,23 @@
         caller = scriptedserver.Caller(server)
         with anyio.fail_after(5), pytest.raises(httpx.RemoteProtocolError):
             await _get(caller)
+
+
+async def test_answer_that_a_cut_one_takes_bytes_of_ends_the_attempt():
+    """It waited for the end of a line until its deadline."""
+    own = scriptedserver.answer("q2", body=b"x" * 2_000)
+    foreign = scriptedserver.answer("q1", body=b"y" * 1_000)[:-900]
+    server = scriptedserver.ScriptedServer(_FIRST, [foreign + own])
+    async with server.running():
+        caller = scriptedserver.Caller(server)
+        with anyio.fail_after(2), pytest.raises(httpx.RemoteProtocolError):
+            await _get_second(caller)
+
+
+async def test_bytes_that_begin_no_answer_end_the_attempt_at_once():
+    """They were kept until a line ended, or until the deadline."""
+    server = scriptedserver.ScriptedServer([b"HTT", 0.01, b"junk"])
+    async with server.running():
+        caller = scriptedserver.Caller(server)
+        with anyio.fail_after(2), pytest.raises(httpx.RemoteProtocolError):
+            await _get(caller)
